--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements; each module prints its figures and the command that made them."""
--- /dev/null
+++ b/jaypost/__init__.py
@@ -0,0 +1,3 @@
+"""Configuration distribution for a service mesh."""
+
+__version__ = "0.1.0"
--- /dev/null
+++ b/jaypost/errors.py
@@ -0,0 +1,152 @@
+"""The closed list of error kinds and the answer that each one gives to a caller."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+from dataclasses import dataclass
+from enum import StrEnum
+from http import HTTPStatus
+
+
+class RunState(StrEnum):
+    """What is known about the execution of a request by a target."""
+
+    NOT_RUN = "not-run"
+    UNKNOWN = "unknown"
+    RAN = "ran"
+
+
+class ErrorKind(StrEnum):
+    """Every kind of error that jaypost reports to a caller or an operator."""
+
+    BAD_REQUEST = "bad_request"
+    HEADERS_TOO_LARGE = "headers_too_large"
+    BODY_TOO_SLOW = "body_too_slow"
+    BAD_DEADLINE = "bad_deadline"
+    UNKNOWN_SERVICE = "unknown_service"
+    NOT_READY = "not_ready"
+    NO_TARGET = "no_target"
+    SLOTS_FULL = "slots_full"
+    QUEUE_FULL = "queue_full"
+    RATE_LIMITED = "rate_limited"
+    CONCURRENCY_LIMITED = "concurrency_limited"
+    DEADLINE_TOO_SHORT = "deadline_too_short"
+    DEADLINE_EXCEEDED = "deadline_exceeded"
+    DRAINING = "draining"
+    WRONG_TARGET = "wrong_target"
+    CONNECT_FAILED = "connect_failed"
+    OUTCOME_UNKNOWN = "outcome_unknown"
+    ANSWER_CUT = "answer_cut"
+    DUPLICATE_REQUEST = "duplicate_request"
+    CLAIM_UNAVAILABLE = "claim_unavailable"
+    CANCELLED = "cancelled"
+    NOT_FOUND = "not_found"
+    METHOD_NOT_ALLOWED = "method_not_allowed"
+    INTERNAL = "internal"
+
+
+@dataclass(frozen=True, slots=True)
+class Answer:
+    """How an error kind is told to a caller.
+
+    Parameters
+    ----------
+    status : HTTPStatus
+        Status of the HTTP response.
+    run_state : RunState
+        Whether the request may have been executed.
+    retryable : bool
+        Whether another attempt by jaypost may succeed without risk of a second execution.
+    text : str
+        One sentence for people.
+    """
+
+    status: HTTPStatus
+    run_state: RunState
+    retryable: bool
+    text: str
+
+
+def _not_run(status: HTTPStatus, text: str, retryable: bool = False) -> Answer:
+    return Answer(status, RunState.NOT_RUN, retryable, text)
+
+
+ANSWER_BY_KIND: Mapping[ErrorKind, Answer] = {
+    ErrorKind.BAD_REQUEST: _not_run(HTTPStatus.BAD_REQUEST, "The request is malformed."),
+    ErrorKind.HEADERS_TOO_LARGE: _not_run(
+        HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE, "The request headers are too large."
+    ),
+    ErrorKind.BODY_TOO_SLOW: _not_run(
+        HTTPStatus.REQUEST_TIMEOUT, "The request body arrived too slowly."
+    ),
+    ErrorKind.BAD_DEADLINE: _not_run(
+        HTTPStatus.BAD_REQUEST, "The deadline header is not a positive number of milliseconds."
+    ),
+    ErrorKind.UNKNOWN_SERVICE: _not_run(
+        HTTPStatus.NOT_FOUND, "No row of the table names this service."
+    ),
+    ErrorKind.NOT_READY: _not_run(
+        HTTPStatus.SERVICE_UNAVAILABLE, "The node holds no table version yet.", retryable=True
+    ),
+    ErrorKind.NO_TARGET: _not_run(
+        HTTPStatus.SERVICE_UNAVAILABLE, "The service has no target that can be tried."
+    ),
+    ErrorKind.SLOTS_FULL: _not_run(
+        HTTPStatus.SERVICE_UNAVAILABLE, "Every slot of the target is busy.", retryable=True
+    ),
+    ErrorKind.QUEUE_FULL: _not_run(
+        HTTPStatus.SERVICE_UNAVAILABLE, "The queue of the target is full.", retryable=True
+    ),
+    ErrorKind.RATE_LIMITED: _not_run(
+        HTTPStatus.TOO_MANY_REQUESTS, "The rate limit of the service is reached."
+    ),
+    ErrorKind.CONCURRENCY_LIMITED: _not_run(
+        HTTPStatus.TOO_MANY_REQUESTS, "The concurrency limit of the service is reached."
+    ),
+    ErrorKind.DEADLINE_TOO_SHORT: _not_run(
+        HTTPStatus.SERVICE_UNAVAILABLE, "The estimated wait exceeds the deadline.", retryable=True
+    ),
+    ErrorKind.DEADLINE_EXCEEDED: _not_run(
+        HTTPStatus.GATEWAY_TIMEOUT, "The deadline passed before the request was dispatched."
+    ),
+    ErrorKind.DRAINING: _not_run(
+        HTTPStatus.SERVICE_UNAVAILABLE, "The target is draining.", retryable=True
+    ),
+    ErrorKind.WRONG_TARGET: _not_run(
+        HTTPStatus.MISDIRECTED_REQUEST, "The host does not have this target.", retryable=True
+    ),
+    ErrorKind.CONNECT_FAILED: _not_run(
+        HTTPStatus.BAD_GATEWAY, "No connection to the target could be opened.", retryable=True
+    ),
+    ErrorKind.OUTCOME_UNKNOWN: Answer(
+        HTTPStatus.GATEWAY_TIMEOUT,
+        RunState.UNKNOWN,
+        False,
+        "The request was dispatched and its outcome is unknown.",
+    ),
+    ErrorKind.ANSWER_CUT: Answer(
+        HTTPStatus.BAD_GATEWAY,
+        RunState.UNKNOWN,
+        False,
+        "The answer of the target ended before it was complete.",
+    ),
+    ErrorKind.DUPLICATE_REQUEST: _not_run(
+        HTTPStatus.CONFLICT, "A request with this idempotency key was already accepted."
+    ),
+    ErrorKind.CLAIM_UNAVAILABLE: _not_run(
+        HTTPStatus.SERVICE_UNAVAILABLE, "The idempotency key could not be claimed in the store."
+    ),
+    ErrorKind.CANCELLED: Answer(
+        HTTPStatus.REQUEST_TIMEOUT, RunState.UNKNOWN, False, "The caller cancelled the request."
+    ),
+    ErrorKind.NOT_FOUND: _not_run(HTTPStatus.NOT_FOUND, "The path does not exist."),
+    ErrorKind.METHOD_NOT_ALLOWED: _not_run(
+        HTTPStatus.METHOD_NOT_ALLOWED, "The path does not accept this method."
+    ),
+    ErrorKind.INTERNAL: Answer(
+        HTTPStatus.INTERNAL_SERVER_ERROR,
+        RunState.UNKNOWN,
+        False,
+        "The node failed to handle the request.",
+    ),
+}
--- /dev/null
+++ b/jaypost/records.py
@@ -0,0 +1,300 @@
+"""Frozen data classes shared by the modules: table, membership and the snapshot in force."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+from dataclasses import dataclass, field
+from enum import StrEnum
+
+
+@dataclass(frozen=True, slots=True)
+class Address:
+    """IP address and port of a listening socket."""
+
+    host: str
+    port: int
+
+    def __str__(self) -> str:
+        return f"{self.host}:{self.port}"
+
+
+@dataclass(frozen=True, slots=True)
+class Destination:
+    """A service that receives a share of a row's requests.
+
+    Parameters
+    ----------
+    service : str
+        Name of the service, which must have a row of its own.
+    weight : int
+        Relative share, 0 to 1000.
+    """
+
+    service: str
+    weight: int
+
+
+@dataclass(frozen=True, slots=True)
+class TenantShare:
+    """Relative share of a tenant in the queue of a target, 1 to 1000."""
+
+    tenant: str
+    share: int
+
+
+class Spill(StrEnum):
+    """How far from the ingress node's failure domain a request may be sent."""
+
+    DOMAIN = "domain"
+    REGION = "region"
+    ANY = "any"
+
+
+@dataclass(frozen=True, slots=True)
+class Row:
+    """One row of the operators' table: the behaviour of one service.
+
+    Parameters
+    ----------
+    service : str
+        Name of the service.
+    destinations : tuple of Destination
+        Services that receive the requests; empty means the service itself.
+    rate_limit : float
+        Requests per second for the whole fleet; 0 means no limit.
+    concurrency_limit : int
+        Requests in execution for the whole fleet; 0 means no limit.
+    queue_limit : int
+        Requests that may wait at one target.
+    timeout_ms : int
+        Deadline in milliseconds of a request that names none, and the largest deadline accepted.
+    first_byte_timeout_ms : int
+        Time in milliseconds to the first byte of an answer before the connection counts as
+        silent; 0 means the deadline of the request.
+    retry_limit : int
+        Attempts after the first.
+    retry_budget : float
+        Retries and hedges as a fraction of the requests of the service.
+    repeatable_methods : tuple of str
+        HTTP methods that are idempotent and may be executed more than once.
+    hedge_ms : int
+        Delay in milliseconds before a second attempt of a repeatable request; 0 means no hedge.
+    long_prefixes : tuple of str
+        Path prefixes whose requests are long work.
+    short_reserve : float
+        Fraction of the slots of a target that long work may not use.
+    tenant_shares : tuple of TenantShare
+        Shares of the tenants in a queue; a tenant that is not listed has share 1.
+    spill : Spill
+        How far requests may leave the failure domain.
+    """
+
+    service: str
+    destinations: tuple[Destination, ...] = ()
+    rate_limit: float = 0.0
+    concurrency_limit: int = 0
+    queue_limit: int = 64
+    timeout_ms: int = 10_000
+    first_byte_timeout_ms: int = 0
+    retry_limit: int = 2
+    retry_budget: float = 0.1
+    repeatable_methods: tuple[str, ...] = ("GET", "HEAD", "OPTIONS")
+    hedge_ms: int = 0
+    long_prefixes: tuple[str, ...] = ()
+    short_reserve: float = 0.25
+    tenant_shares: tuple[TenantShare, ...] = ()
+    spill: Spill = Spill.ANY
+
+
+@dataclass(frozen=True, slots=True)
+class RowProblem:
+    """Why a row is refused; `column` is empty when the whole row is meant."""
+
+    service: str
+    column: str
+    reason: str
+
+
+@dataclass(frozen=True, slots=True)
+class RowChange:
+    """New value of a row; `row` is None when the row is deleted."""
+
+    service: str
+    row: Row | None
+
+
+@dataclass(frozen=True, slots=True)
+class Delta:
+    """The change from version ``version - 1`` to `version`.
+
+    Parameters
+    ----------
+    version : int
+        Version after the change.
+    change_id : str
+        Random identifier, by which a writer finds out whether its change took effect.
+    author : str
+        Operator who made the change.
+    at_ms : int
+        Wall-clock time of the change in milliseconds since 1970, for people only.
+    comment : str
+        Reason given by the operator.
+    rows : tuple of RowChange
+        Rows that change.
+    digest : str
+        Digest of the whole table after the change.
+    """
+
+    version: int
+    change_id: str
+    author: str
+    at_ms: int
+    comment: str
+    rows: tuple[RowChange, ...]
+    digest: str
+
+
+@dataclass(frozen=True, slots=True)
+class Table:
+    """A whole version of the table."""
+
+    version: int
+    rows_by_service: Mapping[str, Row]
+    digest: str
+
+
+@dataclass(frozen=True, slots=True)
+class Head:
+    """The record under the head key: the newest version and the deltas since a snapshot."""
+
+    version: int
+    digest: str
+    snapshot_version: int
+    deltas: tuple[Delta, ...]
+
+
+class TargetState(StrEnum):
+    """State of a target, as it announced it to the node of its host."""
+
+    STARTING = "starting"
+    READY = "ready"
+    DRAINING = "draining"
+    GONE = "gone"
+
+
+class NodeState(StrEnum):
+    """State of a node."""
+
+    JOINING = "joining"
+    READY = "ready"
+    LEAVING = "leaving"
+    LEFT = "left"
+
+
+@dataclass(frozen=True, slots=True)
+class Target:
+    """A target on the host of the node that owns the record.
+
+    Parameters
+    ----------
+    target_id : str
+        Unique identifier.
+    service : str
+        Service that the target belongs to.
+    port : int
+        Port on the host, reached over the loopback address by the host's node.
+    slots : int
+        Requests that the target executes at the same time.
+    state : TargetState
+        Announced state.
+    """
+
+    target_id: str
+    service: str
+    port: int
+    slots: int
+    state: TargetState
+
+
+@dataclass(frozen=True, slots=True)
+class Stamp:
+    """Order of the records of one node: the higher (incarnation, sequence) is the newer."""
+
+    incarnation: int
+    sequence: int
+
+    def newer_than(self, other: Stamp) -> bool:
+        """Tell whether this stamp is newer than `other`."""
+        return (self.incarnation, self.sequence) > (other.incarnation, other.sequence)
+
+
+@dataclass(frozen=True, slots=True)
+class NodeRecord:
+    """What a node tells the fleet about itself and its targets. Only the node itself writes it."""
+
+    node_id: str
+    failure_domain: str
+    region: str
+    peer_address: Address
+    control_address: Address
+    admin_address: Address
+    stamp: Stamp
+    state: NodeState
+    targets: tuple[Target, ...] = ()
+
+
+@dataclass(frozen=True, slots=True)
+class Accusation:
+    """A claim that the node did not answer at the time it had this stamp."""
+
+    node_id: str
+    stamp: Stamp
+
+
+@dataclass(frozen=True, slots=True)
+class PlacedTarget:
+    """A target together with the node that owns it, as placement sees it."""
+
+    target: Target
+    node_id: str
+    failure_domain: str
+    region: str
+    peer_address: Address
+    reachable: bool = True
+
+
+@dataclass(frozen=True, slots=True)
+class Snapshot:
+    """The configuration that requests use: one table version joined with the known targets.
+
+    Parameters
+    ----------
+    version : int
+        Table version; 0 before the first one is in force.
+    rows_by_service : Mapping[str, Row]
+        Rows of that version.
+    destinations_by_service : Mapping[str, tuple of Destination]
+        Destinations that have at least one known target.
+    pending_by_service : Mapping[str, tuple of str]
+        Destinations of the row that have no known target yet.
+    targets_by_service : Mapping[str, tuple of PlacedTarget]
+        Known targets.
+    """
+
+    version: int = 0
+    rows_by_service: Mapping[str, Row] = field(default_factory=dict)
+    destinations_by_service: Mapping[str, tuple[Destination, ...]] = field(default_factory=dict)
+    pending_by_service: Mapping[str, tuple[str, ...]] = field(default_factory=dict)
+    targets_by_service: Mapping[str, tuple[PlacedTarget, ...]] = field(default_factory=dict)
+
+
+@dataclass(frozen=True, slots=True)
+class Load:
+    """Load of a target, as its node knows it."""
+
+    busy: int
+    slots: int
+    queued: int
+
+    def __str__(self) -> str:
+        return f"{self.busy}/{self.slots}/{self.queued}"
--- /dev/null
+++ b/tests/test_settings.py
@@ -0,0 +1,57 @@
+"""Guards against settings that start a node with a wrong or missing value."""
+
+from __future__ import annotations
+
+import argparse
+
+import pytest
+
+from jaypost import settings
+
+REQUIRED = {
+    "JAYPOST_NODE_ID": "n1",
+    "JAYPOST_FAILURE_DOMAIN": "addis-a",
+    "JAYPOST_REGION": "addis",
+    "JAYPOST_STORE": "127.0.0.1:7500",
+}
+
+
+def load(environment, *flags):
+    parser = argparse.ArgumentParser()
+    settings.add_flags(parser)
+    return settings.load(parser.parse_args(flags), environment)
+
+
+@pytest.mark.parametrize(
+    ("environment", "flags", "names"),
+    [
+        ({}, [], {"node_id", "failure_domain", "region", "store"}),
+        (REQUIRED | {"JAYPOST_STORE": "store.example:1"}, [], {"store"}),
+        (
+            REQUIRED | {"JAYPOST_PUSH_FANOUT": "0", "JAYPOST_RAMP_S": "x"},
+            [],
+            {"push_fanout", "ramp_s"},
+        ),
+        (REQUIRED, ["--sync-interval-s", "9"], {"sync_interval_s"}),
+        (REQUIRED, ["--listen-peer", "127.0.0.1:7600"], {"listen_caller"}),
+    ],
+)
+def test_all_problems_are_reported_together(environment, flags, names):
+    loaded = load(environment, *flags)
+    assert isinstance(loaded, settings.RefusedSettings)
+    assert {problem.name for problem in loaded.problems} == names
+
+
+@pytest.mark.parametrize(
+    ("flags", "value", "source"),
+    [
+        ([], 4, "default"),
+        (["--push-fanout", "7"], 7, "flag"),
+    ],
+)
+def test_flag_goes_before_default(flags, value, source):
+    loaded = load(REQUIRED, *flags)
+    assert isinstance(loaded, settings.LoadedSettings)
+    assert loaded.settings.push_fanout == value
+    assert loaded.source_by_name["push_fanout"] == source
+    assert f"push_fanout={value} source='{source}'" in settings.describe(loaded)
