--- a/jaypost/settings.py
+++ b/jaypost/settings.py
@@ -36,6 +36,9 @@
     listen_peer: Address
     listen_control: Address
     listen_admin: Address
+    advertise_peer: Address | None
+    advertise_control: Address | None
+    advertise_admin: Address | None
     seeds: tuple[Address, ...]
     http_codec: HttpCodec
     store_timeout_s: float
@@ -151,6 +154,10 @@
     return tuple(parse_address(part.strip()) for part in text.split(",") if part.strip())
 
 
+def _optional_address(text: str) -> Address | None:
+    return parse_address(text) if text else None
+
+
 _seconds = _number(float, 0.001, 86_400)
 
 SETTING_BY_NAME: Mapping[str, Setting] = {
@@ -164,6 +171,9 @@
     "listen_admin": Setting(
         "127.0.0.1:7603", parse_address, "address for operators, metrics and targets"
     ),
+    "advertise_peer": Setting("", _optional_address, "peer address told to the fleet"),
+    "advertise_control": Setting("", _optional_address, "control address told to the fleet"),
+    "advertise_admin": Setting("", _optional_address, "admin address told to the fleet"),
     "seeds": Setting(
         "", _addresses, "control addresses of nodes to join, used next to the store's"
     ),
@@ -282,6 +292,12 @@
         settings.listen_control,
         settings.listen_admin,
     ]
+    for name in ("peer", "control", "admin"):
+        listen = getattr(settings, f"listen_{name}")
+        if ipaddress.ip_address(listen.host).is_unspecified:
+            if getattr(settings, f"advertise_{name}") is None:
+                reason = f"is required when listen_{name} is an unspecified address"
+                problems.append(SettingProblem(f"advertise_{name}", "", reason))
     bound = [address for address in listeners if address.port]
     if len(set(bound)) != len(bound):
         problems.append(SettingProblem("listen_caller", "", "listening addresses must differ"))
--- /dev/null
+++ b/standins/processes.py
@@ -0,0 +1,243 @@
+"""Starts, watches and ends the processes of a small fleet on this machine."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import os
+import signal
+import socket
+import subprocess
+import sys
+import time
+import urllib.error
+import urllib.request
+from collections.abc import Callable, Mapping, Sequence
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any
+
+from jaypost.records import Address
+
+STOP_TIMEOUT_S = 15.0
+POLL_S = 0.02
+
+
+def free_address() -> Address:
+    """Return a loopback address whose port the kernel says is free."""
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        return Address("127.0.0.1", probe.getsockname()[1])
+
+
+class Process:
+    """One child process, ended by its id.
+
+    Parameters
+    ----------
+    name : str
+        Name of the log file.
+    module : str
+        Python module to run.
+    arguments : sequence of str
+        Command line of the module.
+    directory : Path
+        Directory of the log file.
+    """
+
+    def __init__(self, name: str, module: str, arguments: Sequence[str], directory: Path) -> None:
+        self.name = name
+        self._command = [sys.executable, "-m", module, *arguments]
+        self._log_path = directory / f"{name}.log"
+        self._child: subprocess.Popen[bytes] | None = None
+
+    @property
+    def pid(self) -> int | None:
+        """Process id while the process runs."""
+        return self._child.pid if self._child is not None and self.is_running else None
+
+    @property
+    def is_running(self) -> bool:
+        """Tell whether the process runs."""
+        return self._child is not None and self._child.poll() is None
+
+    def start(self) -> None:
+        """Start the process; its output is appended to the log file."""
+        with self._log_path.open("ab") as log:
+            self._child = subprocess.Popen(self._command, stdout=log, stderr=log)
+
+    def send(self, number: signal.Signals) -> None:
+        """Send a signal."""
+        if self.is_running and self._child is not None:
+            self._child.send_signal(number)
+
+    def wait(self, timeout_s: float = STOP_TIMEOUT_S) -> int | None:
+        """Wait for the end and return the exit code; None when it did not end in time."""
+        if self._child is None:
+            return 0
+        try:
+            return self._child.wait(timeout_s)
+        except subprocess.TimeoutExpired:
+            return None
+
+    def stop(self) -> int | None:
+        """End the process with SIGTERM, and with SIGKILL when it does not end in time."""
+        self.send(signal.SIGTERM)
+        code = self.wait()
+        if code is None:
+            self.kill()
+        return code
+
+    def kill(self) -> None:
+        """End the process at once."""
+        self.send(signal.SIGCONT)
+        self.send(signal.SIGKILL)
+        self.wait()
+
+
+@dataclass(frozen=True, slots=True)
+class NodePlace:
+    """Where a node runs and the addresses it listens on."""
+
+    node_id: str
+    failure_domain: str
+    region: str
+    caller: Address
+    peer: Address
+    control: Address
+    admin: Address
+
+
+def place_node(node_id: str, failure_domain: str, region: str) -> NodePlace:
+    """Give a node four free addresses."""
+    return NodePlace(
+        node_id,
+        failure_domain,
+        region,
+        free_address(),
+        free_address(),
+        free_address(),
+        free_address(),
+    )
+
+
+class Fleet:
+    """A store, nodes and targets, each as its own process.
+
+    Parameters
+    ----------
+    directory : Path
+        Directory of the log files and journals.
+    """
+
+    def __init__(self, directory: Path) -> None:
+        directory.mkdir(parents=True, exist_ok=True)
+        self.directory = directory
+        self.store_address = free_address()
+        self.place_by_id: dict[str, NodePlace] = {}
+        self.process_by_name: dict[str, Process] = {}
+
+    def start_store(self) -> Process:
+        """Start the store stand-in."""
+        arguments = ["--listen", str(self.store_address)]
+        return self._start("store", "standins.store", arguments)
+
+    def start_node(
+        self, place: NodePlace, flags: Sequence[str] = (), seeds: Sequence[NodePlace] = ()
+    ) -> Process:
+        """Start a node, again after it ended if need be."""
+        self.place_by_id[place.node_id] = place
+        arguments = [
+            *("--node-id", place.node_id),
+            *("--failure-domain", place.failure_domain),
+            *("--region", place.region),
+            *("--store", str(self.store_address)),
+            *("--listen-caller", str(place.caller)),
+            *("--listen-peer", str(place.peer)),
+            *("--listen-control", str(place.control)),
+            *("--listen-admin", str(place.admin)),
+            *("--join-jitter-s", "0.2"),
+            *(("--seeds", ",".join(str(seed.control) for seed in seeds)) if seeds else ()),
+            *flags,
+        ]
+        return self._start(place.node_id, "jaypost.daemon", arguments)
+
+    def start_target(
+        self, target_id: str, service: str, node_id: str, slots: int, flags: Sequence[str] = ()
+    ) -> Process:
+        """Start a target on the host of a node."""
+        arguments = [
+            *("--id", target_id),
+            *("--service", service),
+            *("--slots", str(slots)),
+            *("--admin", str(self.place_by_id[node_id].admin)),
+            *("--journal", str(self.journal_path(target_id))),
+            *flags,
+        ]
+        return self._start(target_id, "standins.target", arguments)
+
+    def journal_path(self, target_id: str) -> Path:
+        """Return the path of the journal of a target."""
+        return self.directory / f"{target_id}.journal"
+
+    def _start(self, name: str, module: str, arguments: Sequence[str]) -> Process:
+        process = Process(name, module, arguments, self.directory)
+        self.process_by_name[name] = process
+        process.start()
+        return process
+
+    async def close(self) -> Mapping[str, int | None]:
+        """End every process, targets and nodes before the store, and return the exit codes."""
+        names = [name for name in self.process_by_name if name != "store"]
+        for name in names:
+            self.process_by_name[name].send(signal.SIGCONT)
+            self.process_by_name[name].send(signal.SIGTERM)
+        loop = asyncio.get_running_loop()
+        stops = [
+            loop.run_in_executor(None, self.process_by_name[name].stop)
+            for name in [*names, "store"]
+            if name in self.process_by_name
+        ]
+        codes = await asyncio.gather(*stops)
+        return dict(zip([*names, "store"], codes, strict=False))
+
+
+def http(
+    method: str, address: Address, path: str, body: bytes | None = None, timeout_s: float = 5.0
+) -> tuple[int, bytes]:
+    """Make one blocking HTTP request to an admin port or the store stand-in.
+
+    Returns
+    -------
+    tuple of int and bytes
+        Status and body; status 0 when there was no answer.
+    """
+    request = urllib.request.Request(f"http://{address}{path}", data=body, method=method)
+    try:
+        with urllib.request.urlopen(request, timeout=timeout_s) as response:
+            return response.status, response.read()
+    except urllib.error.HTTPError as error:
+        return error.code, error.read()
+    except OSError:
+        return 0, b""
+
+
+def http_json(address: Address, path: str) -> Any:
+    """Return the JSON value at `path`, or None when there is no answer with status 200."""
+    status, body = http("GET", address, path)
+    return json.loads(body) if status == 200 else None
+
+
+def wait_until(condition: Callable[[], bool], timeout_s: float) -> float | None:
+    """Poll `condition` and return the seconds until it held; None when it did not in time."""
+    started = time.monotonic()
+    while time.monotonic() - started < timeout_s:
+        if condition():
+            return time.monotonic() - started
+        time.sleep(POLL_S)
+    return None
+
+
+def environment_seed(default: int) -> int:
+    """Return the seed given by the variable SEED, or `default`."""
+    return int(os.environ.get("SEED", default))
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -34,6 +34,7 @@
         ),
         (REQUIRED, ["--sync-interval-s", "9"], {"sync_interval_s"}),
         (REQUIRED, ["--listen-peer", "127.0.0.1:7600"], {"listen_caller"}),
+        (REQUIRED, ["--listen-peer", "0.0.0.0:7601"], {"advertise_peer"}),
     ],
 )
 def test_all_problems_are_reported_together(environment, flags, names):
