--- a/jaypost/admission.py
+++ b/jaypost/admission.py
@@ -2,11 +2,36 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+import heapq
+import itertools
+import math
+import statistics
+from collections import OrderedDict, deque
+from dataclasses import dataclass, field, replace
 from enum import StrEnum
+from functools import singledispatchmethod
 
 from jaypost.errors import ErrorKind
-from jaypost.records import Load, Row, Target
+from jaypost.invariants import check
+from jaypost.records import Load, Row, Target, TargetState
+
+NO_LOAD = Load(0, 0, 0)
+ROUNDING = 1e-9
+COMPACT_FACTOR = 2
+USUAL_GAIN = 1 / 256
+RECENT_GAIN = 1 / 4
+# One request of unrecognised long work moves the recent duration by at most
+# RECENT_GAIN * (DURATION_CAP_FACTOR - 1), which stays below SLOW_FACTOR - 1.
+DURATION_CAP_FACTOR = 8.0
+SLOW_FACTOR = 3.0
+SLOW_SLOTS_FRACTION = 0.2
+LONG_FACTOR = 8.0
+STILL_LONG_FACTOR = 4.0
+PREFIX_SAMPLES = 5
+PREFIX_GAIN = 1 / 16
+PREFIX_LIMIT = 64
+MEDIAN_WINDOW = 101
+MEDIAN_INTERVAL = 16
 
 
 class CallClass(StrEnum):
@@ -111,13 +136,469 @@
 Message = Admit | Release | Cancel | SetTargets | Tick
 
 
+@dataclass(slots=True)
+class _Waiting:
+    """A queued request."""
+
+    message: Admit
+    order: int
+    live: bool = True
+
+
+@dataclass(slots=True)
+class _Running:
+    """A request that holds a slot."""
+
+    target_id: str
+    service: str
+    call_class: CallClass
+
+
+@dataclass(slots=True)
+class _TenantQueue:
+    """Queued requests of one tenant, earliest deadline first in each class."""
+
+    share: int
+    finish: float
+    heap_by_class: dict[CallClass, list[tuple[float, int, _Waiting]]]
+    waiting: int = 0
+
+
+@dataclass(slots=True)
+class _Durations:
+    """Durations of the requests of one class: the usual one and the recent one, in seconds."""
+
+    usual_s: float = 0.0
+    recent_s: float = 0.0
+
+    def learn(self, duration_s: float) -> None:
+        """Take the duration of one request into account."""
+        if not self.usual_s:
+            self.usual_s = self.recent_s = duration_s
+            return
+        capped_s = min(duration_s, DURATION_CAP_FACTOR * self.usual_s)
+        self.usual_s += USUAL_GAIN * (capped_s - self.usual_s)
+        self.recent_s += RECENT_GAIN * (capped_s - self.recent_s)
+
+
+class _TargetQueue:
+    """Slots and queue of one target.
+
+    Between tenants the queue is self-clocked fair: a tenant that starts to wait takes the finish
+    tag of the last request served, so nothing is kept for tenants that do not wait.
+    """
+
+    def __init__(self, target: Target) -> None:
+        self.target = target
+        self.row: Row | None = None
+        self.busy = 0
+        self.long_busy = 0
+        self.queued = 0
+        self.queued_by_class = dict.fromkeys(CallClass, 0)
+        self.durations_by_class = {call_class: _Durations() for call_class in CallClass}
+        self._clock = 0.0
+        self._queue_by_tenant: dict[str, _TenantQueue] = {}
+
+    @property
+    def load(self) -> Load:
+        """Load as it is reported to ingress nodes."""
+        return Load(self.busy, self.offered_slots, self.queued)
+
+    @property
+    def offered_slots(self) -> int:
+        """Slots for requests that may not queue; few while the target is slower than usual.
+
+        The node of the target sees its durations at once, while hundreds of ingress nodes would
+        each need several slow answers. Requests that may queue still get every slot.
+        """
+        if self.is_slow:
+            return max(1, int(self.target.slots * SLOW_SLOTS_FRACTION))
+        return self.target.slots
+
+    @property
+    def is_slow(self) -> bool:
+        """Whether short work takes several times its usual duration."""
+        durations = self.durations_by_class[CallClass.SHORT]
+        return durations.recent_s > SLOW_FACTOR * durations.usual_s
+
+    def long_slots(self) -> int:
+        """Return how many slots long work may hold."""
+        reserve = self.row.short_reserve if self.row is not None else 0.0
+        return max(1, math.floor(self.target.slots * (1.0 - reserve) + ROUNDING))
+
+    def has_slot(self, call_class: CallClass) -> bool:
+        """Tell whether a request of the class may start now."""
+        if self.busy >= self.target.slots:
+            return False
+        return call_class is CallClass.SHORT or self.long_busy < self.long_slots()
+
+    def take(self, call_class: CallClass) -> None:
+        """Take a slot."""
+        self.busy += 1
+        check(self.busy <= self.target.slots, "admission_slots", target=self.target.target_id)
+        if call_class is CallClass.LONG:
+            self.long_busy += 1
+            check(self.long_busy <= self.long_slots(), "admission_reserve", busy=self.long_busy)
+
+    def give_back(self, call_class: CallClass) -> None:
+        """Free a slot."""
+        self.busy -= 1
+        self.long_busy -= call_class is CallClass.LONG
+        check(self.busy >= 0 and self.long_busy >= 0, "admission_release", busy=self.busy)
+
+    def expected_s(self, call_class: CallClass) -> float:
+        """Return the expected duration of a request."""
+        return self.durations_by_class[call_class].recent_s
+
+    def estimated_wait_s(self, message: Admit) -> float:
+        """Return the time that the request would wait for a slot.
+
+        A tenant waits for its own requests with earlier deadlines, at the rate of its share, but
+        never for more than everything that is queued.
+        """
+        call_class = message.call_class
+        slots = self.target.slots if call_class is CallClass.SHORT else self.long_slots()
+        interval_s = self.expected_s(call_class) / slots
+        ahead = self.queued_by_class[call_class]
+        tenant_queue = self._queue_by_tenant.get(message.tenant)
+        if tenant_queue is None:
+            own, share = 0, _share(message.row, message.tenant)
+            total = share + sum(queue.share for queue in self._queue_by_tenant.values())
+        else:
+            heap = tenant_queue.heap_by_class[call_class]
+            own = sum(1 for deadline, _, item in heap if item.live and deadline <= message.deadline)
+            share = tenant_queue.share
+            total = sum(queue.share for queue in self._queue_by_tenant.values())
+        fair = (own + 1) * total / share
+        return min(fair, ahead + 1) * interval_s
+
+    def push(self, item: _Waiting) -> None:
+        """Add a request to the queue."""
+        message = item.message
+        queue = self._queue_by_tenant.get(message.tenant)
+        if queue is None:
+            heaps: dict[CallClass, list[tuple[float, int, _Waiting]]]
+            heaps = {call_class: [] for call_class in CallClass}
+            share = _share(message.row, message.tenant)
+            queue = _TenantQueue(share, self._clock, heaps)
+            self._queue_by_tenant[message.tenant] = queue
+        heapq.heappush(
+            queue.heap_by_class[message.call_class], (message.deadline, item.order, item)
+        )
+        queue.waiting += 1
+        self.queued += 1
+        self.queued_by_class[message.call_class] += 1
+
+    def remove(self, item: _Waiting) -> None:
+        """Take a request out of the queue."""
+        item.live = False
+        message = item.message
+        self.queued -= 1
+        self.queued_by_class[message.call_class] -= 1
+        queue = self._queue_by_tenant[message.tenant]
+        queue.waiting -= 1
+        if not queue.waiting:
+            del self._queue_by_tenant[message.tenant]
+            return
+        heap = queue.heap_by_class[message.call_class]
+        if len(heap) > COMPACT_FACTOR * queue.waiting:
+            heap[:] = [entry for entry in heap if entry[2].live]
+            heapq.heapify(heap)
+
+    def pop(self) -> _Waiting | None:
+        """Take the next request that a free slot may run out of the queue."""
+        classes = [item for item in CallClass if self.queued_by_class[item] and self.has_slot(item)]
+        if not classes:
+            return None
+        best: tuple[float, float, int] | None = None
+        chosen: tuple[_TenantQueue, _Waiting] | None = None
+        for queue in self._queue_by_tenant.values():
+            head = self._head(queue, classes)
+            if head is None:
+                continue
+            charge = self._charge(head) / queue.share
+            # A tenant whose long work could not run must not take later short slots for it.
+            finish = max(queue.finish + charge, self._clock)
+            rank = (finish, head.message.deadline, head.order)
+            if best is None or rank < best:
+                best, chosen = rank, (queue, head)
+        if best is None or chosen is None:
+            return None
+        queue, head = chosen
+        queue.finish = best[0]
+        self._clock = max(self._clock, best[0])
+        self.remove(head)
+        return head
+
+    def expired(self, now: float) -> list[_Waiting]:
+        """Take the requests whose deadline passed out of the queue."""
+        late = []
+        for queue in list(self._queue_by_tenant.values()):
+            for call_class in CallClass:
+                head = self._head(queue, [call_class])
+                while head is not None and head.message.deadline <= now:
+                    self.remove(head)
+                    late.append(head)
+                    head = self._head(queue, [call_class])
+        return late
+
+    def push_out(self, message: Admit) -> _Waiting | None:
+        """Make room for a tenant that has less of the full queue than the largest user of it."""
+        largest = max(self._queue_by_tenant.values(), key=lambda queue: queue.waiting / queue.share)
+        own = self._queue_by_tenant.get(message.tenant)
+        own_waiting = own.waiting if own is not None else 0
+        share = _share(message.row, message.tenant)
+        if (own_waiting + 1) / share >= largest.waiting / largest.share:
+            return None
+        entries = [entry for heap in largest.heap_by_class.values() for entry in heap]
+        _, _, last = max(entry for entry in entries if entry[2].live)
+        self.remove(last)
+        return last
+
+    def all_waiting(self) -> list[_Waiting]:
+        """Return every queued request."""
+        return [
+            item
+            for queue in self._queue_by_tenant.values()
+            for heap in queue.heap_by_class.values()
+            for _, _, item in heap
+            if item.live
+        ]
+
+    def _charge(self, item: _Waiting) -> float:
+        if item.message.call_class is CallClass.SHORT:
+            return 1.0
+        short_s = self.durations_by_class[CallClass.SHORT].usual_s
+        long_s = self.durations_by_class[CallClass.LONG].usual_s
+        return max(1.0, long_s / short_s) if short_s else 1.0
+
+    @staticmethod
+    def _head(queue: _TenantQueue, classes: list[CallClass]) -> _Waiting | None:
+        heads = []
+        for call_class in classes:
+            heap = queue.heap_by_class[call_class]
+            while heap and not heap[0][2].live:
+                heapq.heappop(heap)
+            if heap:
+                heads.append(heap[0])
+        return min(heads)[2] if heads else None
+
+
+def _share(row: Row, tenant: str) -> int:
+    for item in row.tenant_shares:
+        if item.tenant == tenant:
+            return item.share
+    return 1
+
+
 class Admission:
     """Owner of the slots and queues of all targets of the host."""
 
+    def __init__(self) -> None:
+        self._queue_by_target: dict[str, _TargetQueue] = {}
+        self._running_by_ticket: dict[str, _Running] = {}
+        self._waiting_by_ticket: dict[str, _Waiting] = {}
+        self._orders = itertools.count()
+
+    @singledispatchmethod
     def handle(self, message: Message) -> tuple[Decision, ...]:
         """Apply `message` and return the decisions it brought about, for any ticket."""
-        raise NotImplementedError
+        raise TypeError(f"unknown message {message!r}")
 
     def load(self, target_id: str) -> Load:
         """Return the load of a target."""
-        raise NotImplementedError
+        queue = self._queue_by_target.get(target_id)
+        return queue.load if queue is not None else NO_LOAD
+
+    @handle.register
+    def _admit(self, message: Admit) -> tuple[Decision, ...]:
+        ticket = message.ticket
+        known = ticket in self._running_by_ticket or ticket in self._waiting_by_ticket
+        if not check(not known, "admission_ticket_reused", ticket=ticket):
+            return (Refused(ticket, ErrorKind.INTERNAL, self.load(message.target_id)),)
+        queue = self._queue_by_target.get(message.target_id)
+        if queue is None or queue.target.state is TargetState.GONE:
+            return (Refused(ticket, ErrorKind.WRONG_TARGET, NO_LOAD),)
+        if queue.target.state is not TargetState.READY:
+            return (Refused(ticket, ErrorKind.DRAINING, queue.load),)
+        if message.deadline <= message.now:
+            return (Refused(ticket, ErrorKind.DEADLINE_EXCEEDED, queue.load),)
+        queue.row = message.row
+        if queue.has_slot(message.call_class):
+            if not message.may_queue and queue.busy >= queue.offered_slots:
+                return (Refused(ticket, ErrorKind.SLOTS_FULL, queue.load),)
+            return (self._start(queue, message),)
+        if not message.may_queue:
+            return (Refused(ticket, ErrorKind.SLOTS_FULL, queue.load),)
+        return self._wait(queue, message)
+
+    @handle.register
+    def _release(self, message: Release) -> tuple[Decision, ...]:
+        running = self._running_by_ticket.pop(message.ticket, None)
+        if not check(running is not None, "admission_release_unknown", ticket=message.ticket):
+            return ()
+        assert running is not None
+        queue = self._queue_by_target[running.target_id]
+        queue.give_back(running.call_class)
+        queue.durations_by_class[running.call_class].learn(message.service_s)
+        if queue.target.state is TargetState.GONE and not queue.busy:
+            del self._queue_by_target[running.target_id]
+            return ()
+        return self._grant(queue, message.now)
+
+    @handle.register
+    def _cancel(self, message: Cancel) -> tuple[Decision, ...]:
+        item = self._waiting_by_ticket.pop(message.ticket, None)
+        if item is None:
+            return ()
+        queue = self._queue_by_target[item.message.target_id]
+        queue.remove(item)
+        return (Refused(message.ticket, ErrorKind.CANCELLED, queue.load),)
+
+    @handle.register
+    def _set_targets(self, message: SetTargets) -> tuple[Decision, ...]:
+        decisions: list[Decision] = []
+        target_by_id = {target.target_id: target for target in message.targets}
+        for target_id, queue in list(self._queue_by_target.items()):
+            target = target_by_id.get(target_id)
+            if target is None:
+                target = replace(queue.target, state=TargetState.GONE)
+            decisions += self._update(queue, target, message.now)
+        for target_id, target in target_by_id.items():
+            if target_id not in self._queue_by_target and target.state is not TargetState.GONE:
+                self._queue_by_target[target_id] = _TargetQueue(target)
+        return tuple(decisions)
+
+    @handle.register
+    def _tick(self, message: Tick) -> tuple[Decision, ...]:
+        decisions: list[Decision] = []
+        for queue in self._queue_by_target.values():
+            decisions += self._grant(queue, message.now)
+        return tuple(decisions)
+
+    def _start(self, queue: _TargetQueue, message: Admit) -> Admitted:
+        queue.take(message.call_class)
+        self._running_by_ticket[message.ticket] = _Running(
+            message.target_id, message.row.service, message.call_class
+        )
+        return Admitted(message.ticket, queue.load)
+
+    def _wait(self, queue: _TargetQueue, message: Admit) -> tuple[Decision, ...]:
+        wait_s = queue.estimated_wait_s(message)
+        if message.now + wait_s > message.deadline:
+            return (Refused(message.ticket, ErrorKind.DEADLINE_TOO_SHORT, queue.load),)
+        decisions: list[Decision] = self._refuse_expired(queue, message.now)
+        if queue.queued >= message.row.queue_limit:
+            removed = queue.push_out(message) if queue.queued else None
+            if removed is None:
+                refused = Refused(message.ticket, ErrorKind.QUEUE_FULL, queue.load)
+                return (*decisions, refused)
+            decisions.append(self._refuse(queue, removed, ErrorKind.QUEUE_FULL))
+        item = _Waiting(message, next(self._orders))
+        queue.push(item)
+        self._waiting_by_ticket[message.ticket] = item
+        return (*decisions, Queued(message.ticket, queue.load))
+
+    def _grant(self, queue: _TargetQueue, now: float) -> tuple[Decision, ...]:
+        decisions: list[Decision] = self._refuse_expired(queue, now)
+        while (item := queue.pop()) is not None:
+            del self._waiting_by_ticket[item.message.ticket]
+            decisions.append(self._start(queue, item.message))
+        return tuple(decisions)
+
+    def _refuse_expired(self, queue: _TargetQueue, now: float) -> list[Decision]:
+        return [
+            self._refuse(queue, item, ErrorKind.DEADLINE_EXCEEDED) for item in queue.expired(now)
+        ]
+
+    def _refuse(self, queue: _TargetQueue, item: _Waiting, kind: ErrorKind) -> Refused:
+        del self._waiting_by_ticket[item.message.ticket]
+        return Refused(item.message.ticket, kind, queue.load)
+
+    def _update(self, queue: _TargetQueue, target: Target, now: float) -> list[Decision]:
+        queue.target = target
+        if target.state is not TargetState.GONE:
+            return list(self._grant(queue, now))
+        decisions: list[Decision] = []
+        for item in queue.all_waiting():
+            queue.remove(item)
+            decisions.append(self._refuse(queue, item, ErrorKind.DRAINING))
+        if not queue.busy:
+            del self._queue_by_target[target.target_id]
+        return decisions
+
+
+@dataclass(slots=True)
+class _PrefixDurations:
+    """Durations of the requests under one path prefix."""
+
+    mean_s: float = 0.0
+    count: int = 0
+    is_long: bool = False
+
+
+@dataclass(slots=True)
+class _ServiceDurations:
+    """Durations of the requests of one service."""
+
+    recent_s: deque[float] = field(default_factory=lambda: deque(maxlen=MEDIAN_WINDOW))
+    median_s: float = 0.0
+    until_median: int = 0
+    prefix_by_path: OrderedDict[str, _PrefixDurations] = field(default_factory=OrderedDict)
+
+
+class LongWork:
+    """Classifies requests by the prefixes of the row and by the durations observed."""
+
+    def __init__(self) -> None:
+        self._durations_by_service: dict[str, _ServiceDurations] = {}
+
+    def classify(self, row: Row, path: str) -> CallClass:
+        """Return the class of a request."""
+        if any(path.startswith(prefix) for prefix in row.long_prefixes):
+            return CallClass.LONG
+        service = self._durations_by_service.get(row.service)
+        if service is None:
+            return CallClass.SHORT
+        prefix = service.prefix_by_path.get(path_prefix(path))
+        return CallClass.LONG if prefix is not None and prefix.is_long else CallClass.SHORT
+
+    def observe(self, service: str, path: str, duration_s: float) -> None:
+        """Take the duration of one request into account."""
+        durations = self._durations_by_service.setdefault(service, _ServiceDurations())
+        self._learn_median(durations, duration_s)
+        prefix = self._prefix(durations, path_prefix(path))
+        prefix.count += 1
+        gain = max(1.0 / prefix.count, PREFIX_GAIN)
+        prefix.mean_s += gain * (duration_s - prefix.mean_s)
+        if prefix.count < PREFIX_SAMPLES:
+            return
+        factor = STILL_LONG_FACTOR if prefix.is_long else LONG_FACTOR
+        prefix.is_long = prefix.mean_s > factor * durations.median_s
+
+    def forget(self, service: str) -> None:
+        """Drop what is known about a service whose row was deleted."""
+        self._durations_by_service.pop(service, None)
+
+    @staticmethod
+    def _learn_median(durations: _ServiceDurations, duration_s: float) -> None:
+        durations.recent_s.append(duration_s)
+        durations.until_median -= 1
+        if durations.until_median <= 0:
+            durations.median_s = statistics.median(durations.recent_s)
+            durations.until_median = min(MEDIAN_INTERVAL, len(durations.recent_s))
+
+    @staticmethod
+    def _prefix(durations: _ServiceDurations, prefix: str) -> _PrefixDurations:
+        known = durations.prefix_by_path
+        if prefix not in known:
+            known[prefix] = _PrefixDurations()
+            if len(known) > PREFIX_LIMIT:
+                known.popitem(last=False)
+        known.move_to_end(prefix)
+        return known[prefix]
+
+
+def path_prefix(path: str) -> str:
+    """Return the first segment of a path, without the query."""
+    return path.partition("?")[0].lstrip("/").partition("/")[0]
--- a/jaypost/placement.py
+++ b/jaypost/placement.py
@@ -2,13 +2,32 @@
 
 from __future__ import annotations
 
+import math
 import random
 from collections.abc import Mapping
 from dataclasses import dataclass
 
 from jaypost.errors import ErrorKind
-from jaypost.health import TargetHealth
-from jaypost.records import Destination, Load, PlacedTarget, Spill
+from jaypost.health import SHED_STATUS, Observation, TargetHealth
+from jaypost.records import Destination, Load, PlacedTarget, Spill, TargetState
+
+TIERS_BY_SPILL: Mapping[Spill, int] = {Spill.DOMAIN: 1, Spill.REGION: 2, Spill.ANY: 3}
+REMOTE_TIER = 2
+# The link between regions is billed by volume, so leaving the region must save more waiting time
+# than the round trip alone costs.
+LINK_PRICE_FACTOR = 2.0
+SPILL_DELAY_S = 0.1
+FULL_MEMORY_S = 0.02
+FAILED_MEMORY_S = 1.0
+HINT_DECAY_S = 0.5
+SATURATED_SHARE = 0.7
+SATURATION_MEMORY_S = 1.0
+FULL_GAIN = 0.25
+LATENCY_GAIN = 0.1
+TIE_S = 1e-6
+
+FULL_KINDS = frozenset({ErrorKind.SLOTS_FULL, ErrorKind.QUEUE_FULL, ErrorKind.DEADLINE_TOO_SHORT})
+FAILED_KINDS = frozenset({ErrorKind.CONNECT_FAILED, ErrorKind.DRAINING, ErrorKind.WRONG_TARGET})
 
 
 @dataclass(frozen=True, slots=True)
@@ -80,6 +99,8 @@
         Load reported by the target's node with the answer.
     now : float
         Monotonic time in seconds.
+    long_work : bool
+        Whether the request was long work, whose latency says nothing about the target.
     """
 
     target: PlacedTarget
@@ -88,26 +109,299 @@
     latency_s: float
     load: Load | None
     now: float
+    long_work: bool = False
+
+
+@dataclass(slots=True)
+class _TargetLoad:
+    """What the ingress knows about the load of one target."""
+
+    busy: float = 0.0
+    slots: int = 1
+    queued: float = 0.0
+    hint_at: float = float("-inf")
+    full_until: float = float("-inf")
+    failed_until: float = float("-inf")
+    inflight: int = 0
+    inflight_at_hint: int = 0
+
+
+@dataclass(slots=True)
+class _ServiceState:
+    """Targets of a service by tier, and how often they were full lately."""
+
+    targets: tuple[PlacedTarget, ...]
+    tiers: tuple[tuple[PlacedTarget, ...], ...]
+    full_share: float = 0.0
+    full_at: float = float("-inf")
+    latency_s: float = 0.0
+    near_full_since: float = float("inf")
 
 
 class Placement:
-    """Chooses targets from the load and health that the ingress knows."""
+    """Chooses targets from the load and health that the ingress knows.
+
+    Parameters
+    ----------
+    failure_domain : str
+        Failure domain of the ingress.
+    region : str
+        Region of the ingress.
+    health : TargetHealth
+        Health of the targets; placement feeds it.
+    rng : random.Random
+        Source of the random choices.
+    region_round_trip_s : float
+        Round trip to another region in seconds.
+    """
 
     def __init__(
-        self, failure_domain: str, region: str, health: TargetHealth, rng: random.Random
+        self,
+        failure_domain: str,
+        region: str,
+        health: TargetHealth,
+        rng: random.Random,
+        region_round_trip_s: float = 0.03,
     ) -> None:
-        raise NotImplementedError
+        self._failure_domain = failure_domain
+        self._region = region
+        self._health = health
+        self._rng = rng
+        self._tier_cost_s = (0.0, 0.0, LINK_PRICE_FACTOR * region_round_trip_s)
+        self._load_by_id: dict[str, _TargetLoad] = {}
+        self._state_by_service: dict[str, _ServiceState] = {}
 
     def destination(
         self, destinations: tuple[Destination, ...], snapshot_targets: Mapping[str, object]
     ) -> str | None:
         """Return the destination service of a new request, by weight."""
-        raise NotImplementedError
+        usable = [item for item in destinations if snapshot_targets.get(item.service)]
+        total = sum(item.weight for item in usable)
+        if not total:
+            return None
+        point = self._rng.uniform(0, total)
+        for item in usable:
+            point -= item.weight
+            if point < 0:
+                return item.service
+        return next(item.service for item in reversed(usable) if item.weight)
 
     def choose(self, question: ChooseTarget) -> Chosen | NoTarget:
         """Return the target of the next attempt."""
-        raise NotImplementedError
+        state = self._state(question)
+        tiers = self._usable_tiers(state, question)
+        if not any(tiers):
+            return NoTarget(ErrorKind.NO_TARGET)
+        if not question.last_attempt and not self._is_saturated(state, question.now):
+            target = self._free_target(state, tiers, question)
+            if target is not None:
+                return Chosen(target, may_queue=False)
+        return Chosen(self._queue_target(state, tiers, question), may_queue=True)
 
     def observe(self, event: AttemptStarted | AttemptEnded) -> None:
         """Update load hints and health."""
-        raise NotImplementedError
+        if isinstance(event, AttemptStarted):
+            self._load(event.target_id).inflight += 1
+            self._health.started(event.target_id, event.now)
+            return
+        self._ended(event)
+
+    def forget(self, service: str) -> None:
+        """Drop what is known about a service that has no targets any more."""
+        state = self._state_by_service.pop(service, None)
+        if state is None:
+            return
+        self._health.set_targets(service, (), state.full_at)
+        for placed in state.targets:
+            self._load_by_id.pop(placed.target.target_id, None)
+
+    def _state(self, question: ChooseTarget) -> _ServiceState:
+        state = self._state_by_service.get(question.service)
+        if state is not None and state.targets is question.targets:
+            return state
+        tiers = self._split(question.targets)
+        if state is None:
+            state = _ServiceState(question.targets, tiers)
+            self._state_by_service[question.service] = state
+        kept = {placed.target.target_id for placed in question.targets}
+        for placed in state.targets:
+            if placed.target.target_id not in kept:
+                self._load_by_id.pop(placed.target.target_id, None)
+        state.targets, state.tiers = question.targets, tiers
+        ready = [placed.target.target_id for tier in tiers for placed in tier]
+        self._health.set_targets(question.service, ready, question.now)
+        return state
+
+    def _split(self, targets: tuple[PlacedTarget, ...]) -> tuple[tuple[PlacedTarget, ...], ...]:
+        tiers: tuple[list[PlacedTarget], ...] = ([], [], [])
+        for placed in targets:
+            if placed.target.state is TargetState.READY:
+                tiers[self._tier(placed)].append(placed)
+        return tuple(tuple(tier) for tier in tiers)
+
+    def _tier(self, placed: PlacedTarget) -> int:
+        if placed.failure_domain == self._failure_domain:
+            return 0
+        return 1 if placed.region == self._region else 2
+
+    def _usable_tiers(
+        self, state: _ServiceState, question: ChooseTarget
+    ) -> tuple[tuple[PlacedTarget, ...], ...]:
+        allowed = state.tiers[: TIERS_BY_SPILL[question.spill]]
+        reachable = tuple(tuple(item for item in tier if item.reachable) for tier in allowed)
+        if not any(reachable):
+            return allowed
+        working = tuple(
+            tuple(item for item in tier if self._is_working(item, question.now))
+            for tier in reachable
+        )
+        if any(working):
+            return working
+        unreachable = tuple(tuple(item for item in tier if not item.reachable) for tier in allowed)
+        if any(unreachable) and all(
+            item.target.target_id in question.tried for tier in reachable for item in tier
+        ):
+            return unreachable
+        return reachable
+
+    def _is_working(self, placed: PlacedTarget, now: float) -> bool:
+        load = self._load_by_id.get(placed.target.target_id)
+        if load is not None and now < load.failed_until:
+            return False
+        return self._health.weight(placed.target.target_id, now) > 0.0
+
+    def _is_saturated(self, state: _ServiceState, now: float) -> bool:
+        return state.full_share > SATURATED_SHARE and now - state.full_at < SATURATION_MEMORY_S
+
+    def _free_target(
+        self,
+        state: _ServiceState,
+        tiers: tuple[tuple[PlacedTarget, ...], ...],
+        question: ChooseTarget,
+    ) -> PlacedTarget | None:
+        for number, tier in enumerate(tiers):
+            free = [item for item in tier if self._is_free(item, question)]
+            if number == REMOTE_TIER and free and not self._pays(state, tiers, question.now):
+                return None
+            if free:
+                if number < REMOTE_TIER:
+                    state.near_full_since = float("inf")
+                return self._better_of_two(free, question.now)
+        return None
+
+    def _is_free(self, placed: PlacedTarget, question: ChooseTarget) -> bool:
+        target_id = placed.target.target_id
+        if target_id in question.tried:
+            return False
+        load = self._load_by_id.get(target_id)
+        return load is None or question.now >= load.full_until
+
+    def _pays(
+        self,
+        state: _ServiceState,
+        tiers: tuple[tuple[PlacedTarget, ...], ...],
+        now: float,
+    ) -> bool:
+        near = [item for tier in tiers[:REMOTE_TIER] for item in tier]
+        if not near:
+            return True
+        wait_s = min(self._wait(state, item, now) for item in near)
+        if wait_s <= self._tier_cost_s[REMOTE_TIER]:
+            state.near_full_since = float("inf")
+            return False
+        state.near_full_since = min(state.near_full_since, now)
+        return now - state.near_full_since >= SPILL_DELAY_S
+
+    def _queue_target(
+        self,
+        state: _ServiceState,
+        tiers: tuple[tuple[PlacedTarget, ...], ...],
+        question: ChooseTarget,
+    ) -> PlacedTarget:
+        known = [item for tier in tiers for item in tier]
+        untried = [item for item in known if item.target.target_id not in question.tried]
+        near = [item for tier in tiers[:REMOTE_TIER] for item in tier]
+        leaves = not near or self._pays(state, tiers, question.now)
+        candidates = known if leaves else near
+        fresh = [item for item in candidates if item in untried] or candidates
+        costs = [self._cost(state, item, question.now) for item in fresh]
+        return fresh[costs.index(min(costs))]
+
+    def _cost(self, state: _ServiceState, placed: PlacedTarget, now: float) -> float:
+        wait_s = self._wait(state, placed, now)
+        tie = self._rng.random() * TIE_S
+        return wait_s + self._tier_cost_s[self._tier(placed)] + tie
+
+    def _wait(self, state: _ServiceState, placed: PlacedTarget, now: float) -> float:
+        return max(0.0, self._utilisation(placed, now) - 1.0) * state.latency_s
+
+    def _better_of_two(self, free: list[PlacedTarget], now: float) -> PlacedTarget:
+        if len(free) == 1:
+            return free[0]
+        weights = [self._health.weight(item.target.target_id, now) for item in free]
+        first = self._rng.choices(range(len(free)), weights)[0]
+        weights[first] = 0.0
+        if not any(weights):
+            return free[first]
+        second = self._rng.choices(range(len(free)), weights)[0]
+        pair = free[first], free[second]
+        scores = [self._utilisation(item, now) for item in pair]
+        return pair[0] if scores[0] <= scores[1] else pair[1]
+
+    def _utilisation(self, placed: PlacedTarget, now: float) -> float:
+        load = self._load_by_id.get(placed.target.target_id)
+        if load is None:
+            return 0.0
+        fresh = math.exp(-max(0.0, now - load.hint_at) / HINT_DECAY_S)
+        hinted = (load.busy + load.queued) * fresh
+        own = max(0, load.inflight - load.inflight_at_hint)
+        slots = load.slots or placed.target.slots or 1
+        return max(hinted + own, load.inflight) / slots
+
+    def _load(self, target_id: str) -> _TargetLoad:
+        load = self._load_by_id.get(target_id)
+        if load is None:
+            load = self._load_by_id[target_id] = _TargetLoad()
+        return load
+
+    def _ended(self, event: AttemptEnded) -> None:
+        target = event.target.target
+        load = self._load(target.target_id)
+        load.inflight = max(0, load.inflight - 1)
+        load.inflight_at_hint = min(load.inflight_at_hint, load.inflight)
+        refused = event.kind in FULL_KINDS
+        if event.load is not None:
+            load.busy, load.slots = event.load.busy, event.load.slots
+            load.queued = event.load.queued
+            load.hint_at, load.inflight_at_hint = event.now, load.inflight
+        if refused or event.status == SHED_STATUS:
+            load.full_until = event.now + FULL_MEMORY_S
+        elif event.kind in FAILED_KINDS:
+            load.failed_until = event.now + FAILED_MEMORY_S
+        else:
+            load.full_until = load.failed_until = event.now
+        self._learn(event, refused)
+        self._health.observe(
+            Observation(
+                target.target_id,
+                target.service,
+                event.kind,
+                event.status,
+                event.latency_s,
+                event.now,
+                event.long_work,
+            )
+        )
+
+    def _learn(self, event: AttemptEnded, refused: bool) -> None:
+        state = self._state_by_service.get(event.target.target.service)
+        if state is None:
+            return
+        hint = event.load
+        if hint is not None:
+            full = refused or hint.queued > 0
+            state.full_share += FULL_GAIN * (float(full) - state.full_share)
+            state.full_at = event.now
+        if event.kind is None and not event.long_work:
+            gain = LATENCY_GAIN if state.latency_s else 1.0
+            state.latency_s += gain * (event.latency_s - state.latency_s)
--- a/jaypost/retries.py
+++ b/jaypost/retries.py
@@ -5,9 +5,19 @@
 import random
 from dataclasses import dataclass
 
-from jaypost.errors import ErrorKind
+from jaypost.errors import ANSWER_BY_KIND, ErrorKind, RunState
 from jaypost.records import Row
 
+INITIAL_TOKENS = 1.0
+# Retries saved up in quiet times come on top of the budget when every target starts to fail:
+# 10 of them add at most 0.1 to the amplification over 100 requests.
+MAX_TOKENS = 10.0
+BACKOFF_S = 0.01
+BACKOFF_MAX_S = 0.1
+# Failures after which a repeatable request may have run; every other kind is either not run or
+# would fail in the same way again.
+REPEATED_KINDS = frozenset({ErrorKind.OUTCOME_UNKNOWN, ErrorKind.ANSWER_CUT, ErrorKind.INTERNAL})
+
 
 @dataclass(frozen=True, slots=True)
 class AttemptFailed:
@@ -68,19 +78,73 @@
 
 
 class RetryPolicy:
-    """Retry rules and the budget of each service."""
+    """Retry rules and the budget of each service.
+
+    A request earns `retry_budget` tokens when it starts and loses them when its first attempt
+    fails, so that retries stop when every target fails. The budget then bounds the load at every
+    depth of a call chain, even when applications do not pass on the retry and final headers.
+    """
 
     def __init__(self, rng: random.Random) -> None:
-        raise NotImplementedError
+        self._rng = rng
+        self._tokens_by_service: dict[str, float] = {}
 
     def request_started(self, row: Row, now: float) -> None:
         """Add the share of one request to the budget of its service."""
-        raise NotImplementedError
+        self._add(row, row.retry_budget)
 
     def decide(self, failure: AttemptFailed) -> Retry | GiveUp:
         """Return whether another attempt is made."""
-        raise NotImplementedError
+        not_run = self._is_not_run(failure)
+        if failure.attempt == 1 and not not_run:
+            self._add(failure.row, -failure.row.retry_budget)
+        if not self._may_repeat(failure, not_run):
+            return GiveUp(failure.kind, final=True)
+        delay_s = 0.0 if not_run else self._delay(failure.attempt)
+        if failure.remaining_s <= delay_s:
+            return GiveUp(failure.kind, final=True)
+        if not not_run and not self._charge(failure.row):
+            return GiveUp(failure.kind, final=True)
+        return Retry(delay_s)
 
     def may_hedge(self, row: Row, method: str, inside_retry: bool, now: float) -> bool:
         """Return whether a second attempt may start now, and charge it to the budget."""
-        raise NotImplementedError
+        if inside_retry or not row.hedge_ms or not row.retry_limit:
+            return False
+        return method in row.repeatable_methods and self._charge(row)
+
+    def forget(self, service: str) -> None:
+        """Drop the budget of a service whose row was deleted."""
+        self._tokens_by_service.pop(service, None)
+
+    @staticmethod
+    def _is_not_run(failure: AttemptFailed) -> bool:
+        if failure.kind is None or failure.reached:
+            return False
+        answer = ANSWER_BY_KIND[failure.kind]
+        return answer.retryable and answer.run_state is RunState.NOT_RUN
+
+    @staticmethod
+    def _may_repeat(failure: AttemptFailed, not_run: bool) -> bool:
+        if failure.final or not failure.body_kept or failure.attempt > failure.row.retry_limit:
+            return False
+        if not_run:
+            return True
+        if failure.inside_retry or failure.method not in failure.row.repeatable_methods:
+            return False
+        return failure.kind is None or failure.kind in REPEATED_KINDS
+
+    def _delay(self, attempt: int) -> float:
+        ceiling_s = min(BACKOFF_MAX_S, BACKOFF_S * 2 ** (attempt - 1))
+        return self._rng.uniform(0.0, ceiling_s)
+
+    def _add(self, row: Row, tokens: float) -> None:
+        held = self._tokens_by_service.get(row.service, INITIAL_TOKENS)
+        self._tokens_by_service[row.service] = min(MAX_TOKENS, max(0.0, held + tokens))
+
+    def _charge(self, row: Row) -> bool:
+        held = self._tokens_by_service.get(row.service, INITIAL_TOKENS)
+        if held < 1.0 or not row.retry_budget:
+            return False
+        self._tokens_by_service[row.service] = held - 1.0
+        return True
