--- a/jaypost/admission.py
+++ b/jaypost/admission.py
@@ -18,6 +18,7 @@
 NO_LOAD = Load(0, 0, 0)
 ROUNDING = 1e-9
 COMPACT_FACTOR = 2
+DEVIATION_FACTOR = 2.0
 USUAL_GAIN = 1 / 256
 RECENT_GAIN = 1 / 4
 # One request of unrecognised long work moves the recent duration by at most
@@ -170,6 +171,17 @@
 
     usual_s: float = 0.0
     recent_s: float = 0.0
+    deviation_s: float = 0.0
+
+    @property
+    def likely_s(self) -> float:
+        """Time left below which a request would probably hold a slot and still end too late."""
+        return self.recent_s + self.deviation_s
+
+    @property
+    def safe_s(self) -> float:
+        """Time in which most requests end: the recent mean and twice the mean deviation."""
+        return self.recent_s + DEVIATION_FACTOR * self.deviation_s
 
     def learn(self, duration_s: float) -> None:
         """Take the duration of one request into account."""
@@ -177,6 +189,7 @@
             self.usual_s = self.recent_s = duration_s
             return
         capped_s = min(duration_s, DURATION_CAP_FACTOR * self.usual_s)
+        self.deviation_s += USUAL_GAIN * (abs(capped_s - self.usual_s) - self.deviation_s)
         self.usual_s += USUAL_GAIN * (capped_s - self.usual_s)
         self.recent_s += RECENT_GAIN * (capped_s - self.recent_s)
 
@@ -331,12 +344,13 @@
         return head
 
     def expired(self, now: float) -> list[_Waiting]:
-        """Take the requests whose deadline passed out of the queue."""
+        """Take the requests that can no longer end before their deadline out of the queue."""
         late = []
         for queue in list(self._queue_by_tenant.values()):
             for call_class in CallClass:
                 head = self._head(queue, [call_class])
-                while head is not None and head.message.deadline <= now:
+                margin_s = self.durations_by_class[call_class].likely_s
+                while head is not None and head.message.deadline <= now + margin_s:
                     self.remove(head)
                     late.append(head)
                     head = self._head(queue, [call_class])
@@ -485,7 +499,8 @@
 
     def _wait(self, queue: _TargetQueue, message: Admit) -> tuple[Decision, ...]:
         wait_s = queue.estimated_wait_s(message)
-        if message.now + wait_s > message.deadline:
+        needed_s = wait_s + queue.durations_by_class[message.call_class].safe_s
+        if message.now + needed_s > message.deadline:
             return (Refused(message.ticket, ErrorKind.DEADLINE_TOO_SHORT, queue.load),)
         decisions: list[Decision] = self._refuse_expired(queue, message.now)
         if queue.queued >= message.row.queue_limit:
--- a/jaypost/placement.py
+++ b/jaypost/placement.py
@@ -22,11 +22,14 @@
 HINT_DECAY_S = 0.5
 SATURATED_SHARE = 0.7
 SATURATION_MEMORY_S = 1.0
+QUEUE_REFUSAL_MEMORY_S = 0.05
+FULL_QUEUE_FRACTION = 0.6
 FULL_GAIN = 0.25
 LATENCY_GAIN = 0.1
 TIE_S = 1e-6
 
-FULL_KINDS = frozenset({ErrorKind.SLOTS_FULL, ErrorKind.QUEUE_FULL, ErrorKind.DEADLINE_TOO_SHORT})
+QUEUE_REFUSALS = frozenset({ErrorKind.QUEUE_FULL, ErrorKind.DEADLINE_TOO_SHORT})
+FULL_KINDS = QUEUE_REFUSALS | {ErrorKind.SLOTS_FULL}
 FAILED_KINDS = frozenset({ErrorKind.CONNECT_FAILED, ErrorKind.DRAINING, ErrorKind.WRONG_TARGET})
 
 
@@ -48,6 +51,9 @@
         Whether no attempt may follow, so that this one may queue.
     now : float
         Monotonic time in seconds.
+    long_work : bool
+        Whether the request is long work, which may find a target full that has slots for short
+        work.
     """
 
     service: str
@@ -56,6 +62,7 @@
     tried: frozenset[str]
     last_attempt: bool
     now: float
+    long_work: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -121,7 +128,9 @@
     queued: float = 0.0
     hint_at: float = float("-inf")
     full_until: float = float("-inf")
+    long_full_until: float = float("-inf")
     failed_until: float = float("-inf")
+    queue_refused_at: float = float("-inf")
     inflight: int = 0
     inflight_at_hint: int = 0
 
@@ -134,6 +143,7 @@
     tiers: tuple[tuple[PlacedTarget, ...], ...]
     full_share: float = 0.0
     full_at: float = float("-inf")
+    queued_mean: float = 0.0
     latency_s: float = 0.0
     near_full_since: float = float("inf")
 
@@ -192,6 +202,8 @@
         tiers = self._usable_tiers(state, question)
         if not any(tiers):
             return NoTarget(ErrorKind.NO_TARGET)
+        if self._queues_are_full(state, question):
+            return NoTarget(ErrorKind.QUEUE_FULL)
         if not question.last_attempt and not self._is_saturated(state, question.now):
             target = self._free_target(state, tiers, question)
             if target is not None:
@@ -273,6 +285,21 @@
     def _is_saturated(self, state: _ServiceState, now: float) -> bool:
         return state.full_share > SATURATED_SHARE and now - state.full_at < SATURATION_MEMORY_S
 
+    def _queues_are_full(self, state: _ServiceState, question: ChooseTarget) -> bool:
+        """Tell whether the queue that refused this request is no longer than the others.
+
+        Another attempt would then only take the place of another request.
+        """
+        if not self._is_saturated(state, question.now):
+            return False
+        for target_id in question.tried:
+            load = self._load_by_id.get(target_id)
+            if load is None or question.now - load.queue_refused_at > QUEUE_REFUSAL_MEMORY_S:
+                continue
+            if state.queued_mean >= FULL_QUEUE_FRACTION * load.queued:
+                return True
+        return False
+
     def _free_target(
         self,
         state: _ServiceState,
@@ -294,7 +321,10 @@
         if target_id in question.tried:
             return False
         load = self._load_by_id.get(target_id)
-        return load is None or question.now >= load.full_until
+        if load is None:
+            return True
+        full_until = load.long_full_until if question.long_work else load.full_until
+        return question.now >= full_until
 
     def _pays(
         self,
@@ -374,12 +404,16 @@
             load.busy, load.slots = event.load.busy, event.load.slots
             load.queued = event.load.queued
             load.hint_at, load.inflight_at_hint = event.now, load.inflight
+        if event.kind in QUEUE_REFUSALS:
+            load.queue_refused_at = event.now
         if refused or event.status == SHED_STATUS:
-            load.full_until = event.now + FULL_MEMORY_S
+            load.long_full_until = event.now + FULL_MEMORY_S
+            if not event.long_work:
+                load.full_until = load.long_full_until
         elif event.kind in FAILED_KINDS:
             load.failed_until = event.now + FAILED_MEMORY_S
         else:
-            load.full_until = load.failed_until = event.now
+            load.failed_until = event.now
         self._learn(event, refused)
         self._health.observe(
             Observation(
@@ -398,8 +432,10 @@
         if state is None:
             return
         hint = event.load
-        if hint is not None:
-            full = refused or hint.queued > 0
+        if hint is not None and not event.long_work:
+            # The slot of an answered request is free again when its load is reported.
+            full = refused or hint.busy >= hint.slots - 1
+            state.queued_mean += FULL_GAIN * (hint.queued - state.queued_mean)
             state.full_share += FULL_GAIN * (float(full) - state.full_share)
             state.full_at = event.now
         if event.kind is None and not event.long_work:
