Keep requests away from a target that is slower than usual

Cause: with 4 targets the last attempt queued at the straggler, because a target without a recent hint counted as empty, and the reduced slot count of a slow target flapped.

Change: a target without a recent hint counts as loaded as the service, and waiting there costs one usual duration more; the node of the target judges its pace by busy time between two ends and with hysteresis.

--- a/jaypost/admission.py
+++ b/jaypost/admission.py
@@ -21,10 +21,12 @@
 DEVIATION_FACTOR = 2.0
 USUAL_GAIN = 1 / 256
 RECENT_GAIN = 1 / 4
-# One request of unrecognised long work moves the recent duration by at most
-# RECENT_GAIN * (DURATION_CAP_FACTOR - 1), which stays below SLOW_FACTOR - 1.
+# One request of unrecognised long work moves the pace by at most
+# PACE_GAIN * (DURATION_CAP_FACTOR - 1), which stays below SLOW_FACTOR - 1.
+PACE_GAIN = 1 / 6
 DURATION_CAP_FACTOR = 8.0
 SLOW_FACTOR = 3.0
+STILL_SLOW_FACTOR = 1.5
 SLOW_SLOTS_FRACTION = 0.2
 LONG_FACTOR = 8.0
 STILL_LONG_FACTOR = 4.0
@@ -194,6 +196,42 @@
         self.recent_s += RECENT_GAIN * (capped_s - self.recent_s)
 
 
+class _Pace:
+    """Recent mean duration of short work, from the busy time between two ends.
+
+    The busy time grows while requests run, so a target that becomes slow or freezes is noticed
+    before its first slow request ends.
+    """
+
+    def __init__(self) -> None:
+        self.running = 0
+        self._mean_s = 0.0
+        self._busy_s = 0.0
+        self._at = 0.0
+
+    def mean_s(self, now: float) -> float:
+        """Return the mean duration, with the busy time since the last end."""
+        busy_s = self._busy_s + self.running * max(0.0, now - self._at)
+        return max(self._mean_s, self._mean_s + PACE_GAIN * (busy_s - self._mean_s))
+
+    def started(self, now: float) -> None:
+        """Take the start of a request into account."""
+        self._advance(now)
+        self.running += 1
+
+    def ended(self, now: float, usual_s: float) -> None:
+        """Take the end of a request into account."""
+        self._advance(now)
+        self.running -= 1
+        busy_s = min(self._busy_s, DURATION_CAP_FACTOR * usual_s)
+        self._mean_s += PACE_GAIN * (busy_s - self._mean_s)
+        self._busy_s = 0.0
+
+    def _advance(self, now: float) -> None:
+        self._busy_s += self.running * max(0.0, now - self._at)
+        self._at = max(self._at, now)
+
+
 class _TargetQueue:
     """Slots and queue of one target.
 
@@ -201,14 +239,17 @@
     tag of the last request served, so nothing is kept for tenants that do not wait.
     """
 
-    def __init__(self, target: Target) -> None:
+    def __init__(self, target: Target, now: float) -> None:
         self.target = target
+        self.now = now
         self.row: Row | None = None
         self.busy = 0
         self.long_busy = 0
         self.queued = 0
         self.queued_by_class = dict.fromkeys(CallClass, 0)
         self.durations_by_class = {call_class: _Durations() for call_class in CallClass}
+        self.pace = _Pace()
+        self.slow = False
         self._clock = 0.0
         self._queue_by_tenant: dict[str, _TenantQueue] = {}
 
@@ -219,20 +260,20 @@
 
     @property
     def offered_slots(self) -> int:
-        """Slots for requests that may not queue; few while the target is slower than usual.
+        """Slots for requests that may not queue; few while the target is slow.
 
-        The node of the target sees its durations at once, while hundreds of ingress nodes would
-        each need several slow answers. Requests that may queue still get every slot.
+        The node of the target sees its pace at once, while hundreds of ingress nodes would each
+        need several slow answers. Requests that may queue still get every slot.
         """
-        if self.is_slow:
-            return max(1, int(self.target.slots * SLOW_SLOTS_FRACTION))
-        return self.target.slots
+        if not self.slow:
+            return self.target.slots
+        return max(1, int(self.target.slots * SLOW_SLOTS_FRACTION))
 
-    @property
-    def is_slow(self) -> bool:
-        """Whether short work takes several times its usual duration."""
-        durations = self.durations_by_class[CallClass.SHORT]
-        return durations.recent_s > SLOW_FACTOR * durations.usual_s
+    def judge_pace(self) -> None:
+        """Decide whether the target is slow compared with its usual durations."""
+        usual_s = self.durations_by_class[CallClass.SHORT].usual_s
+        factor = STILL_SLOW_FACTOR if self.slow else SLOW_FACTOR
+        self.slow = usual_s > 0.0 and self.pace.mean_s(self.now) > factor * usual_s
 
     def long_slots(self) -> int:
         """Return how many slots long work may hold."""
@@ -248,15 +289,22 @@
     def take(self, call_class: CallClass) -> None:
         """Take a slot."""
         self.busy += 1
+        if call_class is CallClass.SHORT:
+            self.pace.started(self.now)
         check(self.busy <= self.target.slots, "admission_slots", target=self.target.target_id)
         if call_class is CallClass.LONG:
             self.long_busy += 1
             check(self.long_busy <= self.long_slots(), "admission_reserve", busy=self.long_busy)
 
-    def give_back(self, call_class: CallClass) -> None:
+    def give_back(self, call_class: CallClass, service_s: float) -> None:
         """Free a slot."""
         self.busy -= 1
         self.long_busy -= call_class is CallClass.LONG
+        durations = self.durations_by_class[call_class]
+        durations.learn(service_s)
+        if call_class is CallClass.SHORT:
+            self.pace.ended(self.now, durations.usual_s)
+            self.judge_pace()
         check(self.busy >= 0 and self.long_busy >= 0, "admission_release", busy=self.busy)
 
     def expected_s(self, call_class: CallClass) -> float:
@@ -438,7 +486,9 @@
         if message.deadline <= message.now:
             return (Refused(ticket, ErrorKind.DEADLINE_EXCEEDED, queue.load),)
         queue.row = message.row
+        queue.now = max(queue.now, message.now)
         if queue.has_slot(message.call_class):
+            queue.judge_pace()
             if not message.may_queue and queue.busy >= queue.offered_slots:
                 return (Refused(ticket, ErrorKind.SLOTS_FULL, queue.load),)
             return (self._start(queue, message),)
@@ -453,8 +503,8 @@
             return ()
         assert running is not None
         queue = self._queue_by_target[running.target_id]
-        queue.give_back(running.call_class)
-        queue.durations_by_class[running.call_class].learn(message.service_s)
+        queue.now = max(queue.now, message.now)
+        queue.give_back(running.call_class, message.service_s)
         if queue.target.state is TargetState.GONE and not queue.busy:
             del self._queue_by_target[running.target_id]
             return ()
@@ -480,13 +530,14 @@
             decisions += self._update(queue, target, message.now)
         for target_id, target in target_by_id.items():
             if target_id not in self._queue_by_target and target.state is not TargetState.GONE:
-                self._queue_by_target[target_id] = _TargetQueue(target)
+                self._queue_by_target[target_id] = _TargetQueue(target, message.now)
         return tuple(decisions)
 
     @handle.register
     def _tick(self, message: Tick) -> tuple[Decision, ...]:
         decisions: list[Decision] = []
         for queue in self._queue_by_target.values():
+            queue.now = max(queue.now, message.now)
             decisions += self._grant(queue, message.now)
         return tuple(decisions)
 
@@ -532,6 +583,7 @@
 
     def _update(self, queue: _TargetQueue, target: Target, now: float) -> list[Decision]:
         queue.target = target
+        queue.now = max(queue.now, now)
         if target.state is not TargetState.GONE:
             return list(self._grant(queue, now))
         decisions: list[Decision] = []
--- a/jaypost/placement.py
+++ b/jaypost/placement.py
@@ -23,7 +23,9 @@
 SATURATED_SHARE = 0.7
 SATURATION_MEMORY_S = 1.0
 QUEUE_REFUSAL_MEMORY_S = 0.05
-FULL_QUEUE_FRACTION = 0.6
+FULL_QUEUE_FRACTION = 0.8
+# Waiting at a target that just reported a full house is safer than at one that may be a straggler.
+UNKNOWN_WAIT = 1.0
 FULL_GAIN = 0.25
 LATENCY_GAIN = 0.1
 TIE_S = 1e-6
@@ -123,9 +125,8 @@
 class _TargetLoad:
     """What the ingress knows about the load of one target."""
 
-    busy: float = 0.0
-    slots: int = 1
-    queued: float = 0.0
+    utilisation: float = 0.0
+    queued: int = 0
     hint_at: float = float("-inf")
     full_until: float = float("-inf")
     long_full_until: float = float("-inf")
@@ -143,6 +144,7 @@
     tiers: tuple[tuple[PlacedTarget, ...], ...]
     full_share: float = 0.0
     full_at: float = float("-inf")
+    utilisation: float = 0.0
     queued_mean: float = 0.0
     latency_s: float = 0.0
     near_full_since: float = float("inf")
@@ -313,7 +315,7 @@
             if free:
                 if number < REMOTE_TIER:
                     state.near_full_since = float("inf")
-                return self._better_of_two(free, question.now)
+                return self._better_of_two(state, free, question.now)
         return None
 
     def _is_free(self, placed: PlacedTarget, question: ChooseTarget) -> bool:
@@ -348,24 +350,24 @@
         tiers: tuple[tuple[PlacedTarget, ...], ...],
         question: ChooseTarget,
     ) -> PlacedTarget:
-        known = [item for tier in tiers for item in tier]
-        untried = [item for item in known if item.target.target_id not in question.tried]
         near = [item for tier in tiers[:REMOTE_TIER] for item in tier]
-        leaves = not near or self._pays(state, tiers, question.now)
-        candidates = known if leaves else near
-        fresh = [item for item in candidates if item in untried] or candidates
-        costs = [self._cost(state, item, question.now) for item in fresh]
-        return fresh[costs.index(min(costs))]
+        if not near or self._pays(state, tiers, question.now):
+            near = [item for tier in tiers for item in tier]
+        costs = [self._cost(state, item, question.now) for item in near]
+        return near[costs.index(min(costs))]
 
     def _cost(self, state: _ServiceState, placed: PlacedTarget, now: float) -> float:
         wait_s = self._wait(state, placed, now)
-        tie = self._rng.random() * TIE_S
-        return wait_s + self._tier_cost_s[self._tier(placed)] + tie
+        doubt_s = UNKNOWN_WAIT * state.latency_s * (1.0 - self._freshness(placed, now))
+        tie_s = self._rng.random() * TIE_S
+        return wait_s + doubt_s + self._tier_cost_s[self._tier(placed)] + tie_s
 
     def _wait(self, state: _ServiceState, placed: PlacedTarget, now: float) -> float:
-        return max(0.0, self._utilisation(placed, now) - 1.0) * state.latency_s
+        return max(0.0, self._utilisation(state, placed, now) - 1.0) * state.latency_s
 
-    def _better_of_two(self, free: list[PlacedTarget], now: float) -> PlacedTarget:
+    def _better_of_two(
+        self, state: _ServiceState, free: list[PlacedTarget], now: float
+    ) -> PlacedTarget:
         if len(free) == 1:
             return free[0]
         weights = [self._health.weight(item.target.target_id, now) for item in free]
@@ -375,18 +377,28 @@
             return free[first]
         second = self._rng.choices(range(len(free)), weights)[0]
         pair = free[first], free[second]
-        scores = [self._utilisation(item, now) for item in pair]
+        scores = [self._utilisation(state, item, now) for item in pair]
         return pair[0] if scores[0] <= scores[1] else pair[1]
 
-    def _utilisation(self, placed: PlacedTarget, now: float) -> float:
+    def _utilisation(self, state: _ServiceState, placed: PlacedTarget, now: float) -> float:
+        """Return the estimated load of a target as a fraction of its slots.
+
+        A hint loses weight with its age against the mean of the service, because a target that
+        was not asked lately is no better than the others.
+        """
         load = self._load_by_id.get(placed.target.target_id)
         if load is None:
-            return 0.0
-        fresh = math.exp(-max(0.0, now - load.hint_at) / HINT_DECAY_S)
-        hinted = (load.busy + load.queued) * fresh
+            return state.utilisation
+        fresh = self._freshness(placed, now)
+        hinted = load.utilisation * fresh + state.utilisation * (1.0 - fresh)
         own = max(0, load.inflight - load.inflight_at_hint)
-        slots = load.slots or placed.target.slots or 1
-        return max(hinted + own, load.inflight) / slots
+        return hinted + own / (placed.target.slots or 1)
+
+    def _freshness(self, placed: PlacedTarget, now: float) -> float:
+        load = self._load_by_id.get(placed.target.target_id)
+        if load is None:
+            return 0.0
+        return math.exp(-max(0.0, now - load.hint_at) / HINT_DECAY_S)
 
     def _load(self, target_id: str) -> _TargetLoad:
         load = self._load_by_id.get(target_id)
@@ -401,7 +413,7 @@
         load.inflight_at_hint = min(load.inflight_at_hint, load.inflight)
         refused = event.kind in FULL_KINDS
         if event.load is not None:
-            load.busy, load.slots = event.load.busy, event.load.slots
+            load.utilisation = (event.load.busy + event.load.queued) / max(1, event.load.slots)
             load.queued = event.load.queued
             load.hint_at, load.inflight_at_hint = event.now, load.inflight
         if event.kind in QUEUE_REFUSALS:
@@ -414,7 +426,7 @@
             load.failed_until = event.now + FAILED_MEMORY_S
         else:
             load.failed_until = event.now
-        self._learn(event, refused)
+        self._learn(event, load, refused)
         self._health.observe(
             Observation(
                 target.target_id,
@@ -427,7 +439,7 @@
             )
         )
 
-    def _learn(self, event: AttemptEnded, refused: bool) -> None:
+    def _learn(self, event: AttemptEnded, load: _TargetLoad, refused: bool) -> None:
         state = self._state_by_service.get(event.target.target.service)
         if state is None:
             return
@@ -435,6 +447,7 @@
         if hint is not None and not event.long_work:
             # The slot of an answered request is free again when its load is reported.
             full = refused or hint.busy >= hint.slots - 1
+            state.utilisation += FULL_GAIN * (load.utilisation - state.utilisation)
             state.queued_mean += FULL_GAIN * (hint.queued - state.queued_mean)
             state.full_share += FULL_GAIN * (float(full) - state.full_share)
             state.full_at = event.now
