Add logs, events, metrics, announcements and the admin server

Cause: nodes need one place for log lines, metrics, their own decisions and the targets of their host, and operators need an HTTP port to read them.

--- /dev/null
+++ b/jaypost/events.py
@@ -0,0 +1,90 @@
+"""Bounded log of the decisions that the node made by itself, for `jaypost events`."""
+
+from __future__ import annotations
+
+import time
+from collections import deque
+from collections.abc import Callable, Mapping
+from dataclasses import dataclass
+from types import MappingProxyType
+
+import structlog
+
+from jaypost.logs import EventName
+
+log = structlog.get_logger(__name__)
+
+DEFAULT_CAPACITY = 1000
+MAX_DETAIL_CHARACTERS = 200
+
+DetailValue = str | int | float | bool | None
+
+
+@dataclass(frozen=True, slots=True)
+class Event:
+    """One decision of the node.
+
+    Parameters
+    ----------
+    at_ms : int
+        Wall-clock time in milliseconds since 1970.
+    name : EventName
+        Stable name.
+    details : Mapping[str, str or number]
+        Values that explain the decision.
+    """
+
+    at_ms: int
+    name: EventName
+    details: Mapping[str, DetailValue]
+
+
+def wall_clock_ms() -> int:
+    """Return the wall-clock time in milliseconds since 1970."""
+    return time.time_ns() // 1_000_000
+
+
+class EventLog:
+    """Ring of the newest events; each one is also written to the log.
+
+    Parameters
+    ----------
+    capacity : int
+        Events kept; the oldest is dropped first.
+    clock_ms : callable
+        Wall-clock time in milliseconds.
+    """
+
+    def __init__(
+        self,
+        capacity: int = DEFAULT_CAPACITY,
+        clock_ms: Callable[[], int] = wall_clock_ms,
+    ) -> None:
+        self._events: deque[Event] = deque(maxlen=capacity)
+        self._clock_ms = clock_ms
+        self._recorded = 0
+
+    @property
+    def dropped(self) -> int:
+        """Number of events that are no longer kept."""
+        return self._recorded - len(self._events)
+
+    def record(self, name: EventName, **details: object) -> Event:
+        """Keep and log one event."""
+        kept = {key: _detail(value) for key, value in details.items()}
+        event = Event(self._clock_ms(), name, MappingProxyType(kept))
+        self._events.append(event)
+        self._recorded += 1
+        log.info(name, **kept)
+        return event
+
+    def newest(self, limit: int, name: str | None = None) -> tuple[Event, ...]:
+        """Return up to `limit` events, oldest first, optionally only those called `name`."""
+        chosen = [event for event in self._events if name is None or event.name == name]
+        return tuple(chosen[-limit:]) if limit > 0 else ()
+
+
+def _detail(value: object) -> DetailValue:
+    if value is None or isinstance(value, bool | int | float):
+        return value
+    return str(value)[:MAX_DETAIL_CHARACTERS]
--- /dev/null
+++ b/jaypost/logs.py
@@ -0,0 +1,198 @@
+"""Logs: one line of key=value pairs on stderr for each event, limited in rate by event name."""
+
+from __future__ import annotations
+
+import logging
+import sys
+import time
+from collections.abc import Callable, Mapping, MutableMapping
+from dataclasses import dataclass
+from enum import StrEnum
+from typing import Any, TextIO
+
+import structlog
+
+LINES_PER_SECOND = 5.0
+BURST_LINES = 20.0
+MAX_EVENT_NAMES = 256
+OTHER_EVENTS = "other"
+
+LEVEL_BY_NAME: Mapping[str, int] = {
+    "debug": logging.DEBUG,
+    "info": logging.INFO,
+    "warning": logging.WARNING,
+    "error": logging.ERROR,
+}
+
+
+class EventName(StrEnum):
+    """Stable names of the events in the log lines and in the event log of a node."""
+
+    NODE_STARTED = "node_started"
+    NODE_READY = "node_ready"
+    NODE_DRAINING = "node_draining"
+    NODE_STOPPED = "node_stopped"
+    JOIN_FAILED = "join_failed"
+    READER_STARTED = "reader_started"
+    READER_STOPPED = "reader_stopped"
+    STORE_UNAVAILABLE = "store_unavailable"
+    STORE_AVAILABLE = "store_available"
+    VERSION_APPLIED = "version_applied"
+    VERSION_REFUSED = "version_refused"
+    VERSION_STALE = "version_stale"
+    SNAPSHOT_REBUILT = "snapshot_rebuilt"
+    NODE_ACCUSED = "node_accused"
+    NODE_UNREACHABLE = "node_unreachable"
+    NODE_REACHABLE = "node_reachable"
+    ACCUSATION_REFUTED = "accusation_refuted"
+    TARGET_ANNOUNCED = "target_announced"
+    TARGET_CHANGED = "target_changed"
+    TARGET_GONE = "target_gone"
+    TARGET_REPLACED = "target_replaced"
+    TARGET_EJECTED = "target_ejected"
+    TARGET_RECOVERED = "target_recovered"
+    CONNECTIONS_CLOSED = "connections_closed"
+    SPILL_STARTED = "spill_started"
+    SPILL_ENDED = "spill_ended"
+    ANNOUNCEMENT_REFUSED = "announcement_refused"
+    ANNOUNCEMENT_TIMER_LATE = "announcement_timer_late"
+    ADMIN_REQUEST_FAILED = "admin_request_failed"
+    INVARIANT_VIOLATED = "invariant_violated"
+    LIBRARY_MESSAGE = "library_message"
+    LINES_LEFT_OUT = "log_lines_left_out"
+
+
+@dataclass(slots=True)
+class _Bucket:
+    tokens: float
+    filled_at: float
+    left_out: int = 0
+
+
+class RateLimiter:
+    """Processor that limits the lines of each event name and counts the lines it leaves out.
+
+    The next line of the event carries the count as `left_out`. `take_left_out` returns the
+    counts that no line has carried yet.
+
+    Parameters
+    ----------
+    clock : callable
+        Monotonic time in seconds.
+    """
+
+    def __init__(self, clock: Callable[[], float] = time.monotonic) -> None:
+        self._clock = clock
+        self._bucket_by_event: dict[str, _Bucket] = {}
+
+    def __call__(
+        self, logger: Any, method: str, event: MutableMapping[str, Any]
+    ) -> MutableMapping[str, Any]:
+        """Pass `event` on, or raise `structlog.DropEvent` when its rate is exceeded."""
+        if event.get("event") == EventName.LINES_LEFT_OUT:
+            return event
+        bucket = self._filled_bucket(str(event.get("event", "")))
+        if bucket.tokens < 1.0:
+            bucket.left_out += 1
+            raise structlog.DropEvent
+        bucket.tokens -= 1.0
+        if bucket.left_out:
+            event["left_out"] = bucket.left_out
+            bucket.left_out = 0
+        return event
+
+    def take_left_out(self) -> Mapping[str, int]:
+        """Return the lines left out by event name and set the counts to zero."""
+        counts = {name: b.left_out for name, b in self._bucket_by_event.items() if b.left_out}
+        for name in counts:
+            self._bucket_by_event[name].left_out = 0
+        return counts
+
+    def _filled_bucket(self, name: str) -> _Bucket:
+        now = self._clock()
+        if name not in self._bucket_by_event and len(self._bucket_by_event) >= MAX_EVENT_NAMES:
+            name = OTHER_EVENTS
+        bucket = self._bucket_by_event.setdefault(name, _Bucket(BURST_LINES, now))
+        elapsed = max(0.0, now - bucket.filled_at)
+        bucket.tokens = min(BURST_LINES, bucket.tokens + elapsed * LINES_PER_SECOND)
+        bucket.filled_at = now
+        return bucket
+
+
+class LibraryHandler(logging.Handler):
+    """Passes messages that libraries log by the standard module on as `library_message`."""
+
+    def emit(self, record: logging.LogRecord) -> None:
+        """Log `record` in the format of this module."""
+        log = structlog.get_logger(__name__)
+        log.log(
+            record.levelno,
+            EventName.LIBRARY_MESSAGE,
+            logger=record.name,
+            message=record.getMessage(),
+            exc_info=record.exc_info or None,
+        )
+
+
+_limiter = RateLimiter()
+
+
+def setup(level: str, stream: TextIO | None = None, limiter: RateLimiter | None = None) -> None:
+    """Configure structlog and the standard logging module.
+
+    Parameters
+    ----------
+    level : str
+        Lowest level logged: debug, info, warning or error.
+    stream : TextIO, optional
+        Where lines are written, default stderr.
+    limiter : RateLimiter, optional
+        Rate limiter to use in place of a new one.
+    """
+    global _limiter
+    _limiter = limiter or RateLimiter()
+    lowest = LEVEL_BY_NAME[level]
+    structlog.configure(
+        processors=[
+            _limiter,
+            structlog.processors.add_log_level,
+            structlog.processors.TimeStamper(fmt="iso", utc=True, key="time"),
+            structlog.processors.format_exc_info,
+            _printable,
+            structlog.processors.LogfmtRenderer(
+                key_order=["time", "level", "event"], drop_missing=True, bool_as_flag=False
+            ),
+        ],
+        wrapper_class=structlog.make_filtering_bound_logger(lowest),
+        logger_factory=structlog.WriteLoggerFactory(stream or sys.stderr),
+        cache_logger_on_first_use=False,
+    )
+    logging.basicConfig(level=max(lowest, logging.WARNING), handlers=[LibraryHandler()], force=True)
+
+
+def flush_left_out() -> None:
+    """Log how many lines were left out since the last line of each event.
+
+    Called at intervals and before the process ends, so that no count is lost when the event
+    does not occur again.
+    """
+    log = structlog.get_logger(__name__)
+    for name, count in _limiter.take_left_out().items():
+        log.warning(EventName.LINES_LEFT_OUT, name=name, left_out=count)
+
+
+def _printable(
+    logger: Any, method: str, event: MutableMapping[str, Any]
+) -> MutableMapping[str, Any]:
+    """Replace control characters, so that no value can start a line of its own."""
+    return {key: _without_control_characters(value) for key, value in event.items()}
+
+
+def _without_control_characters(value: object) -> object:
+    if value is None or isinstance(value, bool | int | float):
+        return value
+    text = str(value)
+    if text.isprintable():
+        return text
+    # The renderer escapes line feeds; it leaves other control characters as they are.
+    return "".join(c if c.isprintable() or c == "\n" else f"<{ord(c):02x}>" for c in text)
--- /dev/null
+++ b/jaypost/metrics.py
@@ -0,0 +1,253 @@
+"""Metrics of the node, by aioprometheus, with a bounded number of values for each label."""
+
+from __future__ import annotations
+
+import asyncio
+import re
+from collections.abc import Mapping
+from dataclasses import dataclass
+from enum import StrEnum
+
+from aioprometheus import Counter, Gauge, Histogram, Registry
+from aioprometheus.formats.text import TextFormatter
+
+from jaypost import invariants
+from jaypost.admission import CallClass
+from jaypost.errors import ErrorKind
+
+CONTENT_TYPE = "text/plain; version=0.0.4; charset=utf-8"
+OTHER = "other"
+EMPTY = "none"
+OK = "ok"
+MAX_LABEL_CHARACTERS = 64
+UNSAFE_IN_LABEL = re.compile(r"[^A-Za-z0-9_.:/-]")
+
+TIME_BUCKETS_S = (
+    0.0005,
+    0.001,
+    0.0025,
+    0.005,
+    0.01,
+    0.025,
+    0.05,
+    0.1,
+    0.25,
+    0.5,
+    1.0,
+    2.5,
+    5.0,
+    10.0,
+    30.0,
+    60.0,
+)
+LAG_BUCKETS_S = (0.05, 0.1, 0.25, 0.5, 1.0, 2.0, 3.0, 5.0, 10.0, 30.0, 60.0, 300.0)
+
+
+class Link(StrEnum):
+    """Kind of link that control bytes cross."""
+
+    DOMAIN = "domain"
+    REGION = "region"
+    CROSS_REGION = "cross_region"
+    STORE = "store"
+
+
+class StoreOutcome(StrEnum):
+    """Result of a call of the store."""
+
+    DONE = "done"
+    CONFLICT = "conflict"
+    FAILED = "failed"
+    UNKNOWN = "unknown"
+
+
+@dataclass(frozen=True, slots=True)
+class CallEnded:
+    """A call that this node answered to its caller as ingress; `kind` is None on success."""
+
+    service: str
+    tenant: str
+    call_class: CallClass
+    kind: ErrorKind | None
+    total_s: float
+
+
+@dataclass(frozen=True, slots=True)
+class ExecutionEnded:
+    """An execution by a target of this host; the queueing time precedes the service time."""
+
+    tenant: str
+    call_class: CallClass
+    queue_s: float
+    service_s: float
+
+
+class LabelValues:
+    """Maps the values of one label onto at most `limit` values and `other`.
+
+    The first values seen keep their own series until the process ends. Characters that would
+    break a line of the text format are replaced.
+    """
+
+    def __init__(self, limit: int) -> None:
+        self._limit = limit
+        self._label_by_value: dict[str, str] = {}
+        self._labels: set[str] = set()
+
+    def of(self, value: str) -> str:
+        """Return the label value to use for `value`."""
+        known = self._label_by_value.get(value)
+        if known is not None:
+            return known
+        label = UNSAFE_IN_LABEL.sub("_", value[:MAX_LABEL_CHARACTERS]) or EMPTY
+        if label in self._labels or len(self._labels) < self._limit:
+            self._labels.add(label)
+            if len(self._label_by_value) < self._limit:
+                self._label_by_value[value] = label
+            return label
+        return OTHER
+
+
+class Metrics:
+    """Registry of all metrics; each method records one kind of observation.
+
+    Parameters
+    ----------
+    label_limit : int
+        Values of a label that get a series of their own; further values share `other`.
+    """
+
+    def __init__(self, label_limit: int) -> None:
+        self._registry = Registry()
+        self._values_by_label: dict[str, LabelValues] = {}
+        self._label_limit = label_limit
+        self._calls = self._counter("calls_total", "Calls answered as ingress, by error kind")
+        self._total = self._histogram(
+            "call_seconds", "Time from the caller's request to the end of the answer"
+        )
+        self._queue = self._histogram("queue_seconds", "Time that a request waited for a slot")
+        self._service = self._histogram("service_seconds", "Time that a request held its slot")
+        self._retries = self._counter("retries_total", "Further attempts, by reason")
+        self._hedges = self._counter("hedges_total", "Hedged attempts, by whether they won")
+        self._queued = self._gauge("queued_requests", "Requests that wait for a slot")
+        self._busy = self._gauge("busy_slots", "Slots in use")
+        self._slots = self._gauge("slots", "Slots of the targets of the host")
+        self._ejected = self._gauge("ejected_targets", "Targets that this node has ejected")
+        self._lag = self._histogram(
+            "convergence_lag_seconds",
+            "Time from the operator's change to its use on this node, by wall clocks",
+            LAG_BUCKETS_S,
+        )
+        self._in_force = self._gauge("version_in_force", "Table version in force")
+        self._held = self._gauge("version_held", "Newest table version held")
+        self._refused = self._counter("versions_refused_total", "Table versions refused")
+        self._stale = self._counter("versions_stale_total", "Offers not newer than in force")
+        self._bytes = self._counter("control_bytes_total", "Control bytes sent, by kind and link")
+        self._store_calls = self._counter("store_calls_total", "Calls of the store")
+        self._store_time = self._histogram("store_call_seconds", "Time of a call of the store")
+        self._nodes = self._gauge("known_nodes", "Nodes in the view, by state")
+        self._ready = self._gauge("ready", "Whether the node is ready, 0 or 1")
+        self._violations = self._counter(
+            "invariant_violations_total", "Violations of rules that must always hold"
+        )
+
+    def call_ended(self, call: CallEnded) -> None:
+        """Count a call and its total time."""
+        kind = OK if call.kind is None else call.kind.value
+        self._calls.inc(self._labels(service=call.service, kind=kind))
+        self._total.observe(
+            self._labels(tenant=call.tenant, call_class=call.call_class), call.total_s
+        )
+
+    def execution_ended(self, execution: ExecutionEnded) -> None:
+        """Record the queueing and service time of one execution by a local target."""
+        labels = self._labels(tenant=execution.tenant, call_class=execution.call_class)
+        self._queue.observe(labels, execution.queue_s)
+        self._service.observe(labels, execution.service_s)
+
+    def retry_made(self, service: str, reason: ErrorKind | None) -> None:
+        """Count an attempt after the first; `reason` is None after a server error status."""
+        text = "server_error" if reason is None else reason.value
+        self._retries.inc(self._labels(service=service, reason=text))
+
+    def hedge_ended(self, service: str, won: bool) -> None:
+        """Count a hedged attempt."""
+        self._hedges.inc(self._labels(service=service, result="won" if won else "lost"))
+
+    def load_changed(self, service: str, busy: int, slots: int, queued: int) -> None:
+        """Set the load of the local targets of a service."""
+        labels = self._labels(service=service)
+        self._busy.set(labels, busy)
+        self._slots.set(labels, slots)
+        self._queued.set(labels, queued)
+
+    def ejections_changed(self, service: str, ejected: int) -> None:
+        """Set the number of targets of a service that this node does not use."""
+        self._ejected.set(self._labels(service=service), ejected)
+
+    def version_applied(self, version: int, lag_s: float | None) -> None:
+        """Set the version in force; `lag_s` is None when the time of the change is unknown."""
+        self._in_force.set({}, version)
+        if lag_s is not None:
+            self._lag.observe({}, max(0.0, lag_s))
+
+    def version_held(self, version: int) -> None:
+        """Set the newest version held."""
+        self._held.set({}, version)
+
+    def version_refused(self) -> None:
+        """Count a version that failed validation on this node."""
+        self._refused.inc({})
+
+    def version_stale(self) -> None:
+        """Count an offer of a version that is not newer than the one in force."""
+        self._stale.inc({})
+
+    def control_bytes(self, kind: str, link: Link, count: int) -> None:
+        """Count control bytes sent."""
+        self._bytes.add(self._labels(kind=kind, link=link), count)
+
+    def store_call_ended(self, operation: str, outcome: StoreOutcome, seconds: float) -> None:
+        """Count a call of the store and its time."""
+        self._store_calls.inc(self._labels(operation=operation, outcome=outcome))
+        self._store_time.observe(self._labels(operation=operation), seconds)
+
+    def nodes_changed(self, count_by_state: Mapping[str, int]) -> None:
+        """Set the number of known nodes in each state."""
+        for state, count in count_by_state.items():
+            self._nodes.set(self._labels(state=state), count)
+
+    def readiness_changed(self, ready: bool) -> None:
+        """Set whether the node is ready."""
+        self._ready.set({}, int(ready))
+
+    async def render(self) -> bytes:
+        """Return the text format; other tasks run between two metrics."""
+        for rule, count in invariants.violations_by_rule.items():
+            self._violations.set(self._labels(rule=rule), count)
+        formatter = TextFormatter()
+        blocks = []
+        for collector in self._registry.get_all():
+            blocks.append(formatter.marshall_collector(collector))
+            await asyncio.sleep(0)
+        return ("\n".join(blocks) + "\n").encode()
+
+    def _labels(self, **value_by_label: str) -> dict[str, str]:
+        return {label: self._bounded(label, value) for label, value in value_by_label.items()}
+
+    def _bounded(self, label: str, value: str) -> str:
+        values = self._values_by_label.get(label)
+        if values is None:
+            values = self._values_by_label[label] = LabelValues(self._label_limit)
+        return values.of(value)
+
+    def _counter(self, name: str, text: str) -> Counter:
+        return Counter(f"jaypost_{name}", text, registry=self._registry)
+
+    def _gauge(self, name: str, text: str) -> Gauge:
+        return Gauge(f"jaypost_{name}", text, registry=self._registry)
+
+    def _histogram(
+        self, name: str, text: str, buckets: tuple[float, ...] = TIME_BUCKETS_S
+    ) -> Histogram:
+        return Histogram(f"jaypost_{name}", text, registry=self._registry, buckets=buckets)
--- /dev/null
+++ b/tests/test_admin.py
@@ -0,0 +1,133 @@
+"""Guards against wrong status codes, unbounded input and a server that an error stops."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+
+import pytest
+from admin_fakes import VALID, Host
+
+from jaypost import admin
+from jaypost.errors import ANSWER_BY_KIND, ErrorKind
+from jaypost.logs import EventName
+
+
+@pytest.fixture
+async def host():
+    host = Host()
+    await host.server.start()
+    yield host
+    await host.server.close()
+    await host.server.close()
+
+
+PUT_BODY = json.dumps(VALID).encode()
+
+
+@pytest.mark.parametrize(
+    ("method", "path", "body", "status", "part"),
+    [
+        ("GET", "/targets", b"", 200, b'"targets":[]'),
+        ("PUT", "/targets/t1", PUT_BODY, 200, b'"state":"ready"'),
+        ("PUT", "/targets/t1", b"{}", 400, b'"error":"bad_request"'),
+        ("PUT", "/targets/a%20b", PUT_BODY, 400, b"target id must be"),
+        ("PUT", "/targets/t1", b"x" * 20_000, 400, b"larger than"),
+        ("DELETE", "/targets/t1", b"", 404, b'"error":"not_found"'),
+        ("POST", "/targets/t1", b"", 405, b'"error":"method_not_allowed"'),
+        ("GET", "/metrics", b"", 200, b"# TYPE jaypost_ready gauge"),
+        ("GET", "/healthz", b"", 200, b'"ok"'),
+        ("GET", "/readyz", b"", 503, b'"reason":"no version"'),
+        ("GET", "/status", b"", 200, b'"service":"orders"'),
+        ("GET", "/fleet", b"", 200, b'"silent":["n2"]'),
+        ("GET", "/explain/orders", b"", 200, b'"spill":"any"'),
+        ("GET", "/explain/none", b"", 404, b'"error":"unknown_service"'),
+        ("GET", "/explain/broken", b"", 500, b'"error":"internal"'),
+        ("GET", "/explain", b"", 404, b'"error":"not_found"'),
+        ("GET", "/events", b"", 200, b'"dropped":0'),
+        ("GET", "/events?limit=0", b"", 400, b"limit must be"),
+        ("GET", "/events?limit=x", b"", 400, b"limit must be"),
+        ("GET", "/", b"", 404, b'"error":"not_found"'),
+        ("GET", "/targets/t1/x", b"", 404, b'"error":"not_found"'),
+        ("POST", "/drain", b"", 202, b'"targets":[]'),
+        ("GET", "/drain", b"", 405, b'"error":"method_not_allowed"'),
+    ],
+)
+async def test_answers(host, method, path, body, status, part):
+    response = await host.ask(method, path, body)
+    assert (response.status, part in response.body) == (status, True), response.body
+
+
+async def test_a_target_announces_drains_and_leaves(host):
+    await host.ask("PUT", "/targets/t1", PUT_BODY)
+    assert b'"target_id":"t1"' in (await host.ask("GET", "/targets")).body
+    assert b'"state":"draining"' in (await host.ask("POST", "/drain")).body
+    assert b'"state":"draining"' in (await host.ask("PUT", "/targets/t1", PUT_BODY)).body
+    assert (await host.ask("DELETE", "/targets/t1")).status == 200
+    assert b'"targets":[]' in (await host.ask("GET", "/targets")).body
+
+
+async def test_readiness_follows_the_node(host):
+    host.node.ready = admin.Readiness(True)
+    assert (await host.ask("GET", "/readyz")).status == 200
+
+
+async def test_events_are_filtered_and_limited(host):
+    for number in range(5):
+        host.events.record(EventName.NODE_ACCUSED, node=f"n{number}")
+    host.events.record(EventName.NODE_READY)
+    found = json.loads((await host.ask("GET", "/events?limit=2&name=node_accused")).body)
+    assert [event["details"]["node"] for event in found["events"]] == ["n3", "n4"]
+
+
+async def test_concurrent_fleet_requests_share_one_collection(host):
+    await asyncio.gather(*(host.ask("GET", "/fleet") for _ in range(20)))
+    assert host.node.collections == 1
+
+
+@pytest.mark.parametrize(
+    ("data", "kind"),
+    [
+        (b"\x00\x01\x02\r\n\r\n", ErrorKind.BAD_REQUEST),
+        (b"GET /healthz HTTP/1.1\r\n\r\n", ErrorKind.BAD_REQUEST),
+        (b"GET healthz HTTP/1.1\r\nhost: a\r\nconnection: close\r\n\r\n", ErrorKind.BAD_REQUEST),
+        (b"GET http://[ HTTP/1.1\r\nhost: a\r\nconnection: close\r\n\r\n", ErrorKind.BAD_REQUEST),
+        (b"GET / HTTP/1.1\r\nhost: a\r\nx: " + b"y" * 70_000, ErrorKind.HEADERS_TOO_LARGE),
+        (
+            b"PUT /targets/t HTTP/1.1\r\nhost: a\r\ncontent-length: 1\r\ncontent-length: 2\r\n\r\n",
+            ErrorKind.BAD_REQUEST,
+        ),
+    ],
+)
+async def test_malformed_requests_get_a_typed_answer_and_the_server_goes_on(host, data, kind):
+    answer = await host.ask_raw(data)
+    assert answer.startswith(f"HTTP/1.1 {ANSWER_BY_KIND[kind].status.value} ".encode())
+    assert f"x-jaypost-error: {kind}".encode() in answer
+    assert (await host.ask("GET", "/healthz")).status == 200
+
+
+@pytest.mark.parametrize(
+    ("data", "answer_part"),
+    [(b"", b""), (b"GET / HTTP/1.1\r\nho", b" 408 ")],
+)
+async def test_slow_and_idle_connections_are_closed(host, monkeypatch, data, answer_part):
+    monkeypatch.setattr(admin, "IDLE_TIMEOUT_S", 0.05)
+    answer = await host.ask_raw(data)
+    assert answer_part in answer
+    assert bool(answer) is bool(answer_part)
+
+
+async def test_a_connection_carries_several_requests(host):
+    head = b"GET /healthz HTTP/1.1\r\nhost: a\r\n"
+    answer = await host.ask_raw(head + b"\r\n" + head + b"connection: close\r\n\r\n")
+    assert answer.count(b"HTTP/1.1 200 ") == 2
+
+
+async def test_connections_are_bounded(host, monkeypatch):
+    monkeypatch.setattr(admin, "MAX_CONNECTIONS", 2)
+    address = host.server.address
+    open_ones = [await asyncio.open_connection(address.host, address.port) for _ in range(2)]
+    await asyncio.sleep(0.05)
+    assert await host.ask_raw(b"") == b""
+    for _, writer in open_ones:
+        writer.close()
--- /dev/null
+++ b/tests/test_announcements.py
@@ -0,0 +1,154 @@
+"""Guards against targets that stay listed after they died and against unchecked announcements."""
+
+from __future__ import annotations
+
+import json
+
+import pytest
+from admin_fakes import VALID, load_settings
+
+from jaypost import announcements as a
+from jaypost.errors import ErrorKind
+from jaypost.events import EventLog
+from jaypost.records import TargetState
+
+TIMEOUT_S = 6.0
+
+
+class Host:
+    def __init__(self):
+        self.published = []
+        self.events = EventLog(clock_ms=lambda: 0)
+        self.owner = a.Announcements(load_settings(), self.published.append, self.events)
+
+    def put(self, target_id, now, **changes):
+        body = json.dumps(VALID | changes).encode()
+        return self.owner.handle(a.Announce(target_id, body, now))
+
+    def tick_until(self, end, start=0.0):
+        now = start
+        while now <= end:
+            self.owner.handle(a.Tick(now))
+            now += 0.5
+
+    @property
+    def ids(self):
+        return [target.target_id for target in self.owner.targets]
+
+
+@pytest.fixture
+def host():
+    return Host()
+
+
+@pytest.mark.parametrize(
+    ("last_heard", "asked_at", "listed"),
+    [(0.0, 5.5, True), (0.0, 6.0, True), (0.0, 6.5, False), (4.0, 10.0, True), (4.0, 10.5, False)],
+)
+def test_a_silent_target_is_removed(host, last_heard, asked_at, listed):
+    host.put("t1", last_heard)
+    host.tick_until(asked_at)
+    assert host.ids == (["t1"] if listed else [])
+    assert (host.published[-1] == ()) is not listed
+
+
+def test_a_target_that_announces_stays_and_is_published_once(host):
+    for step in range(30):
+        host.put("t1", 2.0 * step)
+        host.tick_until(2.0 * step + 1.5, start=2.0 * step)
+    assert host.ids == ["t1"]
+    assert len(host.published) == 1
+
+
+def test_a_pause_of_the_node_does_not_remove_its_targets(host):
+    host.tick_until(10.0)
+    host.put("t1", 10.0)
+    host.owner.handle(a.Tick(300.0))
+    assert host.ids == ["t1"]
+    host.tick_until(308.0, start=300.5)
+    assert host.ids == []
+
+
+def test_a_withdrawn_target_is_removed_at_once(host):
+    host.put("t1", 0.0)
+    host.owner.handle(a.Withdraw("t1", 0.1))
+    assert host.published[-1] == ()
+    reply = host.owner.handle(a.Withdraw("t1", 0.2))
+    assert reply.kind is ErrorKind.NOT_FOUND
+
+
+@pytest.mark.parametrize("announced", ["starting", "ready", "draining"])
+@pytest.mark.parametrize("node_drains", [False, True])
+def test_state_published_is_draining_by_target_or_node(host, announced, node_drains):
+    host.put("t1", 0.0)
+    if node_drains:
+        host.owner.handle(a.DrainAll(0.5))
+    reply = host.put("t1", 1.0, state=announced)
+    host.put("t2", 1.0, state=announced, port=9001)
+    expected = TargetState.DRAINING if node_drains else TargetState(announced)
+    assert reply.target.state is expected
+    assert {target.state for target in host.published[-1]} == {expected}
+
+
+def test_drain_publishes_targets_that_were_ready(host):
+    host.put("t1", 0.0)
+    host.owner.handle(a.DrainAll(0.5))
+    assert [target.state for target in host.published[-1]] == [TargetState.DRAINING]
+
+
+@pytest.mark.parametrize(("silence", "replaced"), [(1.9, False), (2.9, False), (3.1, True)])
+def test_a_port_passes_on_only_when_its_owner_is_silent(host, silence, replaced):
+    host.put("old", 0.0)
+    host.put("new", silence)
+    assert host.ids == (["new"] if replaced else ["old"])
+
+
+def test_number_of_targets_is_bounded(host):
+    for number in range(a.MAX_TARGETS + 5):
+        reply = host.put(f"t{number}", 0.0, port=1000 + number)
+    assert len(host.ids) == a.MAX_TARGETS
+    assert reply.kind is ErrorKind.BAD_REQUEST
+    assert isinstance(host.put("t0", 1.0, port=1000), a.TargetAccepted)
+
+
+@pytest.mark.parametrize(
+    ("target_id", "body"),
+    [
+        ("", VALID),
+        ("x" * 65, VALID),
+        ("a/b", VALID),
+        ("a b", VALID),
+        ("t", []),
+        ("t", VALID | {"service": ""}),
+        ("t", VALID | {"service": "a\nb"}),
+        ("t", VALID | {"service": None}),
+        ("t", VALID | {"port": 0}),
+        ("t", VALID | {"port": 65536}),
+        ("t", VALID | {"port": "9000"}),
+        ("t", VALID | {"port": True}),
+        ("t", VALID | {"slots": 0}),
+        ("t", VALID | {"slots": 10**30}),
+        ("t", VALID | {"state": "gone"}),
+        ("t", VALID | {"state": "Ready"}),
+        ("t", VALID | {"weight": 1}),
+        ("t", {"service": "orders"}),
+    ],
+)
+def test_bad_announcements_are_refused_and_change_nothing(host, target_id, body):
+    reply = host.owner.handle(a.Announce(target_id, json.dumps(body).encode(), 0.0))
+    assert isinstance(reply, a.AnnouncementRefused)
+    assert reply.kind is ErrorKind.BAD_REQUEST
+    assert reply.reason
+    assert host.published == []
+
+
+@pytest.mark.parametrize("body", [b"", b"{", b"\xff\xfe", b'{"service":"\xff"}', b"[" * 100_000])
+def test_bytes_that_are_not_json_are_refused(host, body):
+    assert isinstance(host.owner.handle(a.Announce("t", body, 0.0)), a.AnnouncementRefused)
+
+
+async def test_timer_starts_and_closes_more_than_once(host):
+    host.owner.start()
+    host.owner.start()
+    await host.owner.close()
+    await host.owner.close()
--- /dev/null
+++ b/tests/test_events.py
@@ -0,0 +1,42 @@
+"""Guards against an event log that grows without bound or can be changed afterwards."""
+
+from __future__ import annotations
+
+import dataclasses
+
+import pytest
+
+from jaypost.events import MAX_DETAIL_CHARACTERS, EventLog
+from jaypost.logs import EventName
+
+
+@pytest.mark.parametrize(
+    ("recorded", "capacity", "kept", "dropped"), [(0, 3, 0, 0), (3, 3, 3, 0), (10, 3, 3, 7)]
+)
+def test_ring_keeps_the_newest_and_counts_the_rest(recorded, capacity, kept, dropped):
+    events = EventLog(capacity, clock_ms=lambda: 5)
+    for number in range(recorded):
+        events.record(EventName.NODE_ACCUSED, number=number)
+    numbers = [event.details["number"] for event in events.newest(100)]
+    assert numbers == list(range(recorded))[-kept:] if kept else numbers == []
+    assert events.dropped == dropped
+
+
+@pytest.mark.parametrize(
+    ("limit", "name", "count"), [(0, None, 0), (2, None, 2), (9, "node_ready", 1)]
+)
+def test_newest_is_limited_and_filtered(limit, name, count):
+    events = EventLog(clock_ms=lambda: 5)
+    events.record(EventName.NODE_READY)
+    events.record(EventName.NODE_ACCUSED)
+    events.record(EventName.NODE_UNREACHABLE)
+    assert len(events.newest(limit, name)) == count
+
+
+def test_events_cannot_change_and_details_are_bounded():
+    event = EventLog(clock_ms=lambda: 5).record(EventName.VERSION_REFUSED, reason="x" * 10_000)
+    assert len(event.details["reason"]) == MAX_DETAIL_CHARACTERS
+    with pytest.raises(dataclasses.FrozenInstanceError):
+        event.at_ms = 6
+    with pytest.raises(TypeError):
+        event.details["reason"] = "y"
--- /dev/null
+++ b/tests/test_logs.py
@@ -0,0 +1,124 @@
+"""Guards against lost log lines without a count and values that break the line format."""
+
+from __future__ import annotations
+
+import io
+import logging
+
+import pytest
+import structlog
+
+from jaypost import logs
+
+
+class Clock:
+    def __init__(self):
+        self.now = 0.0
+
+    def __call__(self):
+        return self.now
+
+
+@pytest.fixture
+def clock():
+    return Clock()
+
+
+@pytest.fixture
+def output(clock):
+    stream = io.StringIO()
+    logs.setup("info", stream, logs.RateLimiter(clock))
+    yield stream
+    structlog.reset_defaults()
+    logging.basicConfig(force=True)
+
+
+def lines(output):
+    return output.getvalue().splitlines()
+
+
+def left_out(output):
+    counts = [
+        line.split("left_out=")[1].split()[0] for line in lines(output) if "left_out=" in line
+    ]
+    return sum(map(int, counts))
+
+
+@pytest.mark.parametrize("count", [1, 20, 21, 500])
+@pytest.mark.parametrize("pause_s", [0.0, 1.0, 60.0])
+def test_every_line_is_written_or_counted(output, clock, count, pause_s):
+    log = structlog.get_logger()
+    for number in range(count):
+        log.info("target_gone", number=number)
+    clock.now += pause_s
+    log.info("target_gone", number=count)
+    logs.flush_left_out()
+    written = sum("event=target_gone" in line for line in lines(output))
+    assert written + left_out(output) == count + 1
+    assert written <= logs.BURST_LINES + pause_s * logs.LINES_PER_SECOND
+
+
+def test_a_frequent_event_does_not_silence_another(output):
+    log = structlog.get_logger()
+    for _ in range(100):
+        log.info("target_gone")
+    log.info("version_refused")
+    assert "event=version_refused" in output.getvalue()
+
+
+def test_number_of_event_names_kept_is_bounded(clock):
+    limiter = logs.RateLimiter(clock)
+    for number in range(10 * logs.MAX_EVENT_NAMES):
+        try:
+            limiter(None, "info", {"event": f"e{number}"})
+        except structlog.DropEvent:
+            continue
+    assert len(limiter._bucket_by_event) <= logs.MAX_EVENT_NAMES + 1
+
+
+@pytest.mark.parametrize(
+    ("value", "text"),
+    [
+        ("plain", "value=plain"),
+        ("two words", 'value="two words"'),
+        ('a"b c', r'value="a\"b c"'),
+        ("a\nlevel=error", r"a\nlevel=error"),
+        ("a\rb", "value=a<0d>b"),
+        ("\x1b[31m", "value=<1b>[31m"),
+        (3.5, "value=3.5"),
+        ("a\u2028b", "value=a<2028>b"),
+        (True, "value=true"),
+    ],
+)
+def test_a_value_stays_on_its_line(output, value, text):
+    structlog.get_logger().info("target_changed", value=value)
+    assert len(lines(output)) == 1
+    assert text in lines(output)[0]
+
+
+def test_an_exception_stays_on_one_line(output):
+    try:
+        raise ValueError("bad\nvalue")
+    except ValueError:
+        structlog.get_logger().exception("admin_request_failed")
+    assert len(lines(output)) == 1
+    assert "ValueError" in lines(output)[0]
+
+
+@pytest.mark.parametrize(
+    ("level", "written"),
+    [("debug", 4), ("info", 3), ("warning", 2), ("error", 1)],
+)
+def test_lines_below_the_level_are_not_written(level, written):
+    stream = io.StringIO()
+    logs.setup(level, stream)
+    log = structlog.get_logger()
+    for method in (log.debug, log.info, log.warning, log.error):
+        method("node_started")
+    structlog.reset_defaults()
+    assert len(stream.getvalue().splitlines()) == written
+
+
+def test_messages_of_libraries_have_the_same_format(output):
+    logging.getLogger("asyncio").warning("slow %s", "callback")
+    assert 'event=library_message logger=asyncio message="slow callback"' in output.getvalue()
--- /dev/null
+++ b/tests/test_metrics.py
@@ -0,0 +1,110 @@
+"""Guards against unbounded labels, label values that break the format, and wrong counts."""
+
+from __future__ import annotations
+
+import re
+
+import pytest
+
+from jaypost import invariants
+from jaypost.admission import CallClass
+from jaypost.errors import ErrorKind
+from jaypost.metrics import CallEnded, ExecutionEnded, LabelValues, Link, Metrics, StoreOutcome
+
+LINE = re.compile(r"^(# .*|[a-z_]+(\{[a-z_]+=\"[^\"\\]*\"(,[a-z_]+=\"[^\"\\]*\")*\})? [0-9.e+-]+)$")
+
+
+async def rendered(metrics):
+    text = (await metrics.render()).decode()
+    assert all(LINE.match(line) for line in text.splitlines()), text
+    return text
+
+
+def call(metrics, service="orders", tenant="a", kind=None):
+    metrics.call_ended(CallEnded(service, tenant, CallClass.SHORT, kind, 0.02))
+
+
+@pytest.mark.parametrize("limit", [1, 8, 64])
+async def test_series_stay_bounded_whatever_callers_send(limit):
+    metrics = Metrics(limit)
+    for number in range(2000):
+        call(metrics, f"s{number}", f"tenant-{number}", ErrorKind.NO_TARGET)
+        metrics.execution_ended(ExecutionEnded(f"tenant-{number}", CallClass.LONG, 0.1, 0.2))
+        metrics.control_bytes(f"kind{number}", Link.DOMAIN, 1)
+    text = await rendered(metrics)
+    for name in ("call_seconds", "queue_seconds", "service_seconds"):
+        assert text.count(f"jaypost_{name}_count") == limit + 1
+    assert text.count("jaypost_calls_total{") == limit + 1
+    assert f'jaypost_calls_total{{kind="no_target",service="other"}} {2000 - limit}' in text
+
+
+@pytest.mark.parametrize("size", [10, 100_000])
+def test_names_kept_for_labels_are_bounded(size):
+    values = LabelValues(4)
+    for number in range(1000):
+        values.of("\x00" * number + "x" * size)
+    assert len(values._label_by_value) <= 4
+    assert all(len(label) <= 64 for label in values._labels)
+
+
+@pytest.mark.parametrize(
+    ("tenant", "label"),
+    [
+        ("a-b_c.d", "a-b_c.d"),
+        ("", "none"),
+        ('a"b', "a_b"),
+        ("a\nb", "a_b"),
+        ("a\\", "a_"),
+        ("\ud800", "_"),
+        ("\u1200", "_"),
+    ],
+)
+async def test_label_values_keep_the_format_valid(tenant, label):
+    metrics = Metrics(8)
+    call(metrics, tenant=tenant)
+    assert f'call_seconds_count{{call_class="short",tenant="{label}"}} 1' in await rendered(metrics)
+
+
+@pytest.mark.parametrize(
+    ("record", "line"),
+    [
+        (lambda m: call(m), 'calls_total{kind="ok",service="orders"} 1'),
+        (
+            lambda m: call(m, kind=ErrorKind.QUEUE_FULL),
+            'calls_total{kind="queue_full",service="orders"} 1',
+        ),
+        (lambda m: m.version_applied(7, 1.5), "version_in_force 7"),
+        (lambda m: m.version_applied(7, 1.5), 'convergence_lag_seconds_bucket{le="2.0"} 1'),
+        (lambda m: m.version_applied(7, -3.0), 'convergence_lag_seconds_bucket{le="0.05"} 1'),
+        (lambda m: m.version_held(8), "version_held 8"),
+        (lambda m: m.version_refused(), "versions_refused_total 1"),
+        (lambda m: m.version_stale(), "versions_stale_total 1"),
+        (
+            lambda m: m.control_bytes("push", Link.CROSS_REGION, 512),
+            'control_bytes_total{kind="push",link="cross_region"} 512',
+        ),
+        (
+            lambda m: m.store_call_ended("get", StoreOutcome.FAILED, 2.0),
+            'store_calls_total{operation="get",outcome="failed"} 1',
+        ),
+        (
+            lambda m: m.retry_made("orders", None),
+            'retries_total{reason="server_error",service="orders"} 1',
+        ),
+        (lambda m: m.hedge_ended("orders", True), 'hedges_total{result="won",service="orders"} 1'),
+        (lambda m: m.load_changed("orders", 3, 12, 5), 'queued_requests{service="orders"} 5'),
+        (lambda m: m.ejections_changed("orders", 2), 'ejected_targets{service="orders"} 2'),
+        (lambda m: m.nodes_changed({"unreachable": 4}), 'known_nodes{state="unreachable"} 4'),
+        (lambda m: m.readiness_changed(True), "ready 1"),
+    ],
+)
+async def test_each_method_records_its_series(record, line):
+    metrics = Metrics(8)
+    record(metrics)
+    text = await rendered(metrics)
+    assert f"jaypost_{line}\n" in text.replace(".0\n", "\n")
+
+
+async def test_invariant_violations_are_shown(monkeypatch):
+    monkeypatch.setitem(invariants.violations_by_rule, "never_older", 3)
+    assert 'jaypost_invariant_violations_total{rule="never_older"} 3' in await rendered(Metrics(8))
