Add the table: rows, validation, deltas, digest and stored form

Operators, writers and nodes need one definition of a valid table, so that a version accepted by the command is never refused by a node.

parse_row and validate report row and column. Stored data is msgpack and zlib; a field that the program does not know makes it undecodable, because msgspec ignores unknown fields of data classes.

--- /dev/null
+++ b/jaypost/table.py
@@ -0,0 +1,345 @@
+"""The operators' table: parsing, validation, differences, deltas, digest and stored form."""
+
+from __future__ import annotations
+
+import hashlib
+import re
+import typing
+import zlib
+from collections.abc import Callable, Iterable, Iterator, Mapping, Sequence
+from dataclasses import dataclass, fields, is_dataclass, replace
+from functools import cache
+from typing import Any, TypeVar
+
+import msgspec
+
+from jaypost.records import Delta, Row, RowChange, RowProblem, Table
+
+T = TypeVar("T")
+
+SERVICE_PATTERN = re.compile(r"[a-z0-9][a-z0-9._-]{0,63}")
+TENANT_PATTERN = re.compile(r"[A-Za-z0-9][A-Za-z0-9._-]{0,63}")
+METHOD_PATTERN = re.compile(r"[A-Z]{1,16}")
+MAX_LIST_LENGTH = 256
+MAX_PREFIX_LENGTH = 256
+DIGEST_BYTES = 16
+# Bounds the memory that a damaged or hostile stored value can take; 870 rows are about 0.4 MB.
+MAX_DECODED_BYTES = 16 << 20
+
+RANGE_BY_COLUMN: Mapping[str, tuple[float, float]] = {
+    "rate_limit": (0, 10_000_000),
+    "concurrency_limit": (0, 1_000_000),
+    "queue_limit": (0, 10_000),
+    "timeout_ms": (1, 3_600_000),
+    "first_byte_timeout_ms": (0, 3_600_000),
+    "retry_limit": (0, 10),
+    "retry_budget": (0, 1),
+    "hedge_ms": (0, 3_600_000),
+    "short_reserve": (0, 1),
+}
+WEIGHT_RANGE = (0, 1000)
+SHARE_RANGE = (1, 1000)
+FLOAT_COLUMNS = ("rate_limit", "retry_budget", "short_reserve")
+
+
+@dataclass(frozen=True, slots=True)
+class DeltaRefused:
+    """Why a delta cannot be applied to a table."""
+
+    version: int
+    reason: str
+
+
+@dataclass(frozen=True, slots=True)
+class Undecodable:
+    """Why stored data is not a value of the expected kind."""
+
+    reason: str
+
+
+def parse_row(service: str, columns: Mapping[str, object]) -> Row | RowProblem:
+    """Build a row from the operator's columns.
+
+    Parameters
+    ----------
+    service : str
+        Name of the service.
+    columns : Mapping[str, object]
+        Values by column, in the types of JSON; columns left out take their default.
+
+    Returns
+    -------
+    Row or RowProblem
+        The row, or the first problem in the order of the columns of `Row`.
+    """
+    types = _field_types(Row)
+    for column in sorted(columns):
+        if column == "service" or column not in types:
+            return RowProblem(service, column, "is not a column")
+    values: dict[str, Any] = {}
+    for column, kind in types.items():
+        if column not in columns:
+            continue
+        try:
+            values[column] = _convert(columns[column], kind)
+        except msgspec.ValidationError as error:
+            return RowProblem(service, column, str(error))
+    row = Row(service, **values)
+    return next(_row_problems(service, row), row)
+
+
+def row_columns(row: Row) -> dict[str, object]:
+    """Return the columns of a row in the types of JSON, as `parse_row` accepts them."""
+    columns = typing.cast(dict[str, object], msgspec.to_builtins(row))
+    del columns["service"]
+    return columns
+
+
+def validate(rows_by_service: Mapping[str, Row]) -> tuple[RowProblem, ...]:
+    """Check a whole table.
+
+    Returns
+    -------
+    tuple of RowProblem
+        All problems in the order of the services; empty when the table is valid.
+    """
+    problems: list[RowProblem] = []
+    for service in sorted(rows_by_service):
+        row = rows_by_service[service]
+        problems.extend(_row_problems(service, row))
+        for destination in row.destinations:
+            if destination.service not in rows_by_service:
+                reason = f"names service {destination.service!r}, which has no row"
+                problems.append(RowProblem(service, "destinations", reason))
+    return tuple(problems)
+
+
+def diff(old: Table, new: Table) -> tuple[RowChange, ...]:
+    """Return the changes that turn the rows of `old` into those of `new`, by service."""
+    return tuple(
+        RowChange(service, new.rows_by_service.get(service))
+        for service in sorted(old.rows_by_service.keys() | new.rows_by_service.keys())
+        if old.rows_by_service.get(service) != new.rows_by_service.get(service)
+    )
+
+
+def change_rows(rows_by_service: Mapping[str, Row], changes: Iterable[RowChange]) -> dict[str, Row]:
+    """Return the rows after `changes`; deleting an absent row has no effect."""
+    changed = dict(rows_by_service)
+    for change in changes:
+        if change.row is None:
+            changed.pop(change.service, None)
+        else:
+            changed[change.service] = change.row
+    return changed
+
+
+def apply_delta(table: Table, delta: Delta) -> Table | DeltaRefused:
+    """Return the next version of `table`, or why `delta` does not lead to it.
+
+    The result is checked against the digest in the delta. It is not validated.
+    """
+    if delta.version != table.version + 1:
+        return DeltaRefused(delta.version, f"does not follow version {table.version}")
+    for change in delta.rows:
+        if change.row is not None and change.row.service != change.service:
+            return DeltaRefused(delta.version, f"row of {change.service!r} names another service")
+    rows_by_service = change_rows(table.rows_by_service, delta.rows)
+    if digest(rows_by_service) != delta.digest:
+        return DeltaRefused(delta.version, "digest does not match the rows")
+    return Table(delta.version, rows_by_service, delta.digest)
+
+
+def digest(rows_by_service: Mapping[str, Row]) -> str:
+    """Return the digest of the rows, independent of their order in the mapping."""
+    hasher = hashlib.blake2b(digest_size=DIGEST_BYTES)
+    for service in sorted(rows_by_service):
+        row = _with_floats(rows_by_service[service])
+        hasher.update(_encoder.encode((service, row)))
+    return hasher.hexdigest()
+
+
+EMPTY_TABLE = Table(0, {}, hashlib.blake2b(digest_size=DIGEST_BYTES).hexdigest())
+
+
+def make_table(version: int, rows_by_service: Mapping[str, Row]) -> Table:
+    """Return a table with its digest."""
+    return Table(version, rows_by_service, digest(rows_by_service))
+
+
+def encode(value: object) -> bytes:
+    """Return the stored form of a `Table`, `Head`, `Delta` or other record: msgpack and zlib."""
+    return zlib.compress(_encoder.encode(value))
+
+
+def decode(data: bytes, kind: type[T]) -> T | Undecodable:
+    """Return the record of type `kind` in `data`.
+
+    Data with unknown fields is refused, because a field that this program does not know may
+    change the meaning of the others.
+    """
+    try:
+        return typing.cast(T, _convert(msgspec.msgpack.decode(_decompress(data)), kind))
+    except (zlib.error, msgspec.DecodeError, ValueError) as error:
+        return Undecodable(str(error))
+
+
+_encoder = msgspec.msgpack.Encoder()
+
+
+def _decompress(data: bytes) -> bytes:
+    decompressor = zlib.decompressobj()
+    content = decompressor.decompress(data, MAX_DECODED_BYTES)
+    if not decompressor.eof or decompressor.unused_data:
+        raise ValueError("compressed data is cut, too large or followed by other data")
+    return content
+
+
+def _with_floats(row: Row) -> Row:
+    # Decoding turns the whole numbers of float columns into floats, which encode differently.
+    whole = [name for name in FLOAT_COLUMNS if type(getattr(row, name)) is int]
+    if not whole:
+        return row
+    floats: dict[str, Any] = {name: float(getattr(row, name)) for name in whole}
+    return replace(row, **floats)
+
+
+def _convert(value: object, kind: Any) -> Any:
+    converted = msgspec.convert(value, kind)
+    unknown = _unknown_field(value, kind)
+    if unknown is not None:
+        raise msgspec.ValidationError(f"unknown field {unknown!r}")
+    return converted
+
+
+def _unknown_field(value: Any, kind: Any) -> str | None:
+    find = _unknown_field_finder(kind)
+    return None if find is None else find(value)
+
+
+@cache
+def _field_types(kind: type) -> Mapping[str, Any]:
+    hints = typing.get_type_hints(kind)
+    return {item.name: hints[item.name] for item in fields(kind)}
+
+
+@cache
+def _unknown_field_finder(kind: Any) -> Callable[[Any], str | None] | None:
+    """Return a function that names an unknown field in a value that was converted to `kind`.
+
+    msgspec ignores unknown fields of dataclasses. None means that `kind` holds no dataclass.
+    """
+    if is_dataclass(kind):
+        return _dataclass_finder(typing.cast(type, kind))
+    inner = [
+        finder
+        for argument in typing.get_args(kind)
+        if (finder := _unknown_field_finder(argument)) is not None
+    ]
+    if not inner:
+        return None
+    # The types of records hold at most one dataclass: a sequence, mapping or optional of it.
+    (find,) = inner
+    origin = typing.get_origin(kind)
+    if isinstance(origin, type) and issubclass(origin, Mapping):
+        return lambda value: _first(map(find, value.values()))
+    if isinstance(origin, type) and issubclass(origin, Sequence):
+        return lambda value: _first(map(find, value))
+    return lambda value: None if value is None else find(value)
+
+
+def _dataclass_finder(kind: type) -> Callable[[Any], str | None]:
+    types = _field_types(kind)
+    known = types.keys()
+    finder_by_field = {
+        name: finder
+        for name, field_type in types.items()
+        if (finder := _unknown_field_finder(field_type)) is not None
+    }
+
+    def find(value: Any) -> str | None:
+        if not isinstance(value, dict):
+            return None
+        if not value.keys() <= known:
+            return str(min(value.keys() - known))
+        return _first(
+            finder(value[name]) for name, finder in finder_by_field.items() if name in value
+        )
+
+    return find
+
+
+def _first(names: Iterable[str | None]) -> str | None:
+    return next((name for name in names if name is not None), None)
+
+
+def _row_problems(service: str, row: Row) -> Iterator[RowProblem]:
+    if row.service != service:
+        yield RowProblem(service, "service", f"is {row.service!r} in the row")
+    if not SERVICE_PATTERN.fullmatch(service):
+        yield RowProblem(
+            service, "service", "must be 1 to 64 lower-case letters, digits, '-', '_' or '.'"
+        )
+    yield from _destination_problems(service, row)
+    yield from _range_problems(service, row)
+    yield from _list_problems(service, row)
+
+
+def _destination_problems(service: str, row: Row) -> Iterator[RowProblem]:
+    destinations = row.destinations
+    if not destinations:
+        return
+    yield from _length_and_duplicates(service, "destinations", [d.service for d in destinations])
+    low, high = WEIGHT_RANGE
+    for destination in destinations:
+        if not low <= destination.weight <= high:
+            reason = f"weight {destination.weight} of {destination.service!r}"
+            yield RowProblem(service, "destinations", f"{reason} must be between {low} and {high}")
+    if not any(destination.weight for destination in destinations):
+        yield RowProblem(service, "destinations", "at least one weight must be above 0")
+
+
+def _range_problems(service: str, row: Row) -> Iterator[RowProblem]:
+    for column, (low, high) in RANGE_BY_COLUMN.items():
+        value = getattr(row, column)
+        if not low <= value <= high:
+            yield RowProblem(service, column, f"{value} must be between {low} and {high}")
+    for column in ("first_byte_timeout_ms", "hedge_ms"):
+        value = getattr(row, column)
+        if value > row.timeout_ms:
+            reason = f"{value} must not exceed timeout_ms, which is {row.timeout_ms}"
+            yield RowProblem(service, column, reason)
+
+
+def _list_problems(service: str, row: Row) -> Iterator[RowProblem]:
+    yield from _length_and_duplicates(service, "repeatable_methods", row.repeatable_methods)
+    for method in row.repeatable_methods:
+        if not METHOD_PATTERN.fullmatch(method):
+            yield RowProblem(service, "repeatable_methods", f"{method!r} is not an HTTP method")
+    yield from _length_and_duplicates(service, "long_prefixes", row.long_prefixes)
+    for prefix in row.long_prefixes:
+        if not prefix.startswith("/") or len(prefix) > MAX_PREFIX_LENGTH:
+            reason = f"{prefix[:MAX_PREFIX_LENGTH]!r} must start with '/' and have at most "
+            yield RowProblem(service, "long_prefixes", f"{reason}{MAX_PREFIX_LENGTH} characters")
+    yield from _tenant_problems(service, row)
+
+
+def _tenant_problems(service: str, row: Row) -> Iterator[RowProblem]:
+    shares = row.tenant_shares
+    yield from _length_and_duplicates(service, "tenant_shares", [s.tenant for s in shares])
+    low, high = SHARE_RANGE
+    for share in shares:
+        if not TENANT_PATTERN.fullmatch(share.tenant):
+            reason = f"tenant {share.tenant!r} must be 1 to 64 letters, digits, '-', '_' or '.'"
+            yield RowProblem(service, "tenant_shares", reason)
+        if not low <= share.share <= high:
+            reason = f"share {share.share} of {share.tenant!r}"
+            yield RowProblem(service, "tenant_shares", f"{reason} must be between {low} and {high}")
+
+
+def _length_and_duplicates(service: str, column: str, names: Sequence[str]) -> Iterator[RowProblem]:
+    if len(names) > MAX_LIST_LENGTH:
+        reason = f"has {len(names)} entries, more than {MAX_LIST_LENGTH}"
+        yield RowProblem(service, column, reason)
+    if len(set(names)) < len(names):
+        yield RowProblem(service, column, "names the same entry twice")
