--- /dev/null
+++ b/standins/store.py
@@ -0,0 +1,469 @@
+"""Stand-in for the key-value store: compare-and-swap, leases, watches and settable faults.
+
+Run it as ``python -m standins.store --listen IP:PORT``.
+"""
+
+from __future__ import annotations
+
+import argparse
+import asyncio
+import base64
+import signal
+import time
+from collections import Counter
+from collections.abc import Callable, Coroutine, Mapping
+from dataclasses import dataclass, field
+from typing import Any, TypeAlias
+from urllib.parse import parse_qs, unquote, urlsplit
+
+import h11
+import msgspec
+
+from jaypost.records import Address
+from jaypost.settings import parse_address
+from jaypost.store import Conflict, Found, LeaseHeld, LeaseLapsed, Missing, Stored, StoreEntry
+
+MAX_VALUE_BYTES = 1 << 20
+LEASE_CHECK_S = 0.05
+READ_BYTES = 64 << 10
+
+
+@dataclass(slots=True)
+class _Lease:
+    ttl_s: float
+    expires_at: float
+    keys: set[str] = field(default_factory=set)
+
+
+@dataclass(slots=True)
+class _Entry:
+    value: bytes
+    revision: int
+    lease_id: str | None
+
+
+class StoreCore:
+    """Keys, revisions and leases in memory. `now` is monotonic time in seconds."""
+
+    def __init__(self) -> None:
+        self.revision = 0
+        self._entry_by_key: dict[str, _Entry] = {}
+        self._lease_by_id: dict[str, _Lease] = {}
+        self._leases_granted = 0
+
+    def get(self, key: str) -> Found | Missing:
+        """Read a key."""
+        entry = self._entry_by_key.get(key)
+        return Missing() if entry is None else Found(entry.value, entry.revision)
+
+    def put(
+        self, key: str, value: bytes, if_revision: int | None, lease_id: str | None = None
+    ) -> Stored | Conflict | LeaseLapsed:
+        """Write a key if it is at `if_revision`."""
+        if lease_id is not None and lease_id not in self._lease_by_id:
+            return LeaseLapsed()
+        present = self._revision_of(key)
+        if if_revision not in (None, present):
+            return Conflict(present)
+        self._remove(key)
+        self.revision += 1
+        self._entry_by_key[key] = _Entry(value, self.revision, lease_id)
+        if lease_id is not None:
+            self._lease_by_id[lease_id].keys.add(key)
+        return Stored(self.revision)
+
+    def delete(self, key: str, if_revision: int | None) -> Stored | Conflict | Missing:
+        """Delete a key if it is at `if_revision`."""
+        present = self._revision_of(key)
+        if if_revision not in (None, present):
+            return Conflict(present)
+        if not present:
+            return Missing()
+        self._remove(key)
+        self.revision += 1
+        return Stored(self.revision)
+
+    def list(self, prefix: str) -> tuple[StoreEntry, ...]:
+        """Return all keys that start with `prefix`, in order."""
+        return tuple(
+            StoreEntry(key, entry.revision, entry.value)
+            for key, entry in sorted(self._entry_by_key.items())
+            if key.startswith(prefix)
+        )
+
+    def grant_lease(self, ttl_s: float, now: float) -> str:
+        """Create a lease."""
+        self._leases_granted += 1
+        lease_id = f"lease-{self._leases_granted}"
+        self._lease_by_id[lease_id] = _Lease(ttl_s, now + ttl_s)
+        return lease_id
+
+    def renew_lease(self, lease_id: str, now: float) -> LeaseHeld | LeaseLapsed:
+        """Extend a lease by its time to live."""
+        self.expire(now)
+        lease = self._lease_by_id.get(lease_id)
+        if lease is None:
+            return LeaseLapsed()
+        lease.expires_at = now + lease.ttl_s
+        return LeaseHeld()
+
+    def revoke_lease(self, lease_id: str) -> LeaseHeld | LeaseLapsed:
+        """End a lease and delete its keys; `LeaseLapsed` when it does not exist."""
+        lease = self._lease_by_id.pop(lease_id, None)
+        if lease is None:
+            return LeaseLapsed()
+        for key in sorted(lease.keys):
+            self.delete(key, None)
+        return LeaseHeld()
+
+    def expire(self, now: float) -> None:
+        """End the leases that were not renewed in time."""
+        lapsed = [key for key, lease in self._lease_by_id.items() if lease.expires_at <= now]
+        for lease_id in lapsed:
+            self.revoke_lease(lease_id)
+
+    def _revision_of(self, key: str) -> int:
+        entry = self._entry_by_key.get(key)
+        return 0 if entry is None else entry.revision
+
+    def _remove(self, key: str) -> None:
+        entry = self._entry_by_key.pop(key, None)
+        if entry is not None and entry.lease_id in self._lease_by_id:
+            self._lease_by_id[entry.lease_id].keys.discard(key)
+
+
+class Faults(msgspec.Struct, forbid_unknown_fields=True):
+    """Faults in force.
+
+    Parameters
+    ----------
+    down : bool
+        Whether every connection is closed without an answer.
+    delay_ms : int
+        Delay in milliseconds before each call is handled.
+    lose_answers : int
+        Number of next writes that are applied and whose answer is lost.
+    fail_writes : int
+        Number of next writes whose connection is closed before they are applied.
+    """
+
+    down: bool = False
+    delay_ms: int = 0
+    lose_answers: int = 0
+    fail_writes: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class _Request:
+    method: str
+    path: str
+    parameters: Mapping[str, str]
+    body: bytes
+
+    @property
+    def admin(self) -> bool:
+        return self.path in ("/v1/stats", "/v1/faults")
+
+    @property
+    def writes(self) -> bool:
+        return self.method != "GET"
+
+
+@dataclass(frozen=True, slots=True)
+class _Reply:
+    status: int
+    body: bytes = b""
+    revision: int | None = None
+
+
+_Handler: TypeAlias = Callable[[_Request, str], Coroutine[Any, Any, _Reply]]
+
+
+class StoreServer:
+    """HTTP server in front of a `StoreCore`."""
+
+    def __init__(self, listen: Address) -> None:
+        self.core = StoreCore()
+        self.faults = Faults()
+        self.calls_by_kind: Counter[str] = Counter()
+        self.sent_bytes = 0
+        self.received_bytes = 0
+        self._listen = listen
+        self._server: asyncio.Server | None = None
+        self._connections: set[asyncio.Task[None]] = set()
+        self._expiry: asyncio.Task[None] | None = None
+        self._changed = asyncio.Condition()
+
+    @property
+    def address(self) -> Address:
+        """Address that the server listens on."""
+        assert self._server is not None
+        host, port = self._server.sockets[0].getsockname()[:2]
+        return Address(host, port)
+
+    async def start(self) -> None:
+        """Listen."""
+        self._server = await asyncio.start_server(
+            self._accept, self._listen.host, self._listen.port
+        )
+        self._listen = self.address
+        self._expiry = asyncio.create_task(self._expire_leases())
+
+    async def close(self) -> None:
+        """Stop listening and cut all connections; the content is kept for another `start`."""
+        if self._server is None or self._expiry is None:
+            return
+        self._server.close()
+        tasks = [self._expiry, *self._connections]
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+        await self._server.wait_closed()
+        self._server = None
+
+    async def set_faults(self, faults: Faults) -> None:
+        """Replace the faults in force; waiting watches end when the store goes down."""
+        self.faults = faults
+        await self._notify()
+
+    def stats(self) -> dict[str, object]:
+        """Return the calls by kind and the bytes sent and received."""
+        return {
+            "calls_by_kind": dict(self.calls_by_kind),
+            "sent_bytes": self.sent_bytes,
+            "received_bytes": self.received_bytes,
+        }
+
+    async def _expire_leases(self) -> None:
+        while True:
+            await asyncio.sleep(LEASE_CHECK_S)
+            self.core.expire(time.monotonic())
+
+    async def _accept(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        task = asyncio.current_task()
+        assert task is not None
+        self._connections.add(task)
+        try:
+            await self._serve(reader, writer)
+        except (OSError, h11.ProtocolError, asyncio.CancelledError):
+            pass
+        finally:
+            self._connections.discard(task)
+            writer.close()
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        protocol = h11.Connection(h11.SERVER)
+        while True:
+            request = await self._read_request(protocol, reader)
+            if request is None:
+                return
+            reply = await self._handle(request)
+            if reply is None:
+                return
+            await self._write_reply(protocol, writer, reply)
+            if protocol.our_state is not h11.DONE or protocol.their_state is not h11.DONE:
+                return
+            protocol.start_next_cycle()
+
+    async def _read_request(
+        self, protocol: h11.Connection, reader: asyncio.StreamReader
+    ) -> _Request | None:
+        head: h11.Request | None = None
+        body = bytearray()
+        while True:
+            event = protocol.next_event()
+            if event is h11.NEED_DATA:
+                data = await reader.read(READ_BYTES)
+                self.received_bytes += len(data)
+                protocol.receive_data(data)
+            elif isinstance(event, h11.Request):
+                head = event
+            elif isinstance(event, h11.Data):
+                body += event.data
+                if len(body) > MAX_VALUE_BYTES:
+                    return None
+            elif isinstance(event, h11.EndOfMessage) and head is not None:
+                return _parse(head, bytes(body))
+            else:
+                return None
+
+    async def _write_reply(
+        self, protocol: h11.Connection, writer: asyncio.StreamWriter, reply: _Reply
+    ) -> None:
+        headers = []
+        if reply.status != 204:
+            headers.append(("content-length", str(len(reply.body))))
+        if reply.revision is not None:
+            headers.append(("x-revision", str(reply.revision)))
+        data = protocol.send(h11.Response(status_code=reply.status, headers=headers)) or b""
+        if reply.body:
+            data += protocol.send(h11.Data(data=reply.body)) or b""
+        data += protocol.send(h11.EndOfMessage()) or b""
+        self.sent_bytes += len(data)
+        writer.write(data)
+        await writer.drain()
+
+    async def _handle(self, request: _Request) -> _Reply | None:
+        """Return the reply, or None when the connection is closed without one."""
+        if request.admin:
+            return await self._handle_admin(request)
+        if self.faults.down:
+            return None
+        if self.faults.delay_ms:
+            await asyncio.sleep(self.faults.delay_ms / 1000)
+        if request.writes and self.faults.fail_writes:
+            self.faults.fail_writes -= 1
+            return None
+        lost = bool(request.writes and self.faults.lose_answers)
+        if lost:
+            self.faults.lose_answers -= 1
+        try:
+            reply = await self._dispatch(request)
+        except ValueError as error:
+            reply = _Reply(400, str(error).encode())
+        return None if lost or self.faults.down else reply
+
+    async def _handle_admin(self, request: _Request) -> _Reply:
+        if request.path == "/v1/stats":
+            return _Reply(200, msgspec.json.encode(self.stats()))
+        if request.method == "PUT":
+            try:
+                await self.set_faults(msgspec.json.decode(request.body, type=Faults))
+            except msgspec.DecodeError as error:
+                return _Reply(400, str(error).encode())
+        return _Reply(200, msgspec.json.encode(self.faults))
+
+    async def _dispatch(self, request: _Request) -> _Reply:
+        handler_by_call: Mapping[tuple[str, str], _Handler] = {
+            ("GET", "/v1/kv/"): self._get,
+            ("PUT", "/v1/kv/"): self._put,
+            ("DELETE", "/v1/kv/"): self._delete,
+            ("GET", "/v1/prefix/"): self._list,
+            ("POST", "/v1/leases"): self._grant,
+            ("PUT", "/v1/leases/"): self._renew,
+            ("DELETE", "/v1/leases/"): self._revoke,
+        }
+        for (method, prefix), handler in handler_by_call.items():
+            whole = not prefix.endswith("/")
+            matches = request.path == prefix if whole else request.path.startswith(prefix)
+            if method == request.method and matches:
+                return await handler(request, unquote(request.path[len(prefix) :]))
+        return _Reply(404, b"unknown call")
+
+    async def _get(self, request: _Request, key: str) -> _Reply:
+        if "watch_after" in request.parameters:
+            return await self._watch(request, key)
+        self.calls_by_kind["get"] += 1
+        return self._value_reply(key)
+
+    async def _watch(self, request: _Request, key: str) -> _Reply:
+        self.calls_by_kind["watch"] += 1
+        after = int(request.parameters["watch_after"])
+        wait_s = int(request.parameters.get("wait_ms", "0")) / 1000
+        try:
+            async with asyncio.timeout(wait_s), self._changed:
+                await self._changed.wait_for(lambda: self.faults.down or self._above(key, after))
+        except TimeoutError:
+            pass
+        if self._above(key, after):
+            return self._value_reply(key)
+        found = self.core.get(key)
+        return _Reply(204, revision=found.revision)
+
+    def _above(self, key: str, revision: int) -> bool:
+        found = self.core.get(key)
+        return isinstance(found, Found) and found.revision > revision
+
+    def _value_reply(self, key: str) -> _Reply:
+        found = self.core.get(key)
+        if isinstance(found, Missing):
+            return _Reply(404, revision=0)
+        return _Reply(200, found.value, found.revision)
+
+    async def _put(self, request: _Request, key: str) -> _Reply:
+        self.calls_by_kind["put"] += 1
+        self.core.expire(time.monotonic())
+        outcome = self.core.put(
+            key, request.body, _if_revision(request), request.parameters.get("lease")
+        )
+        if isinstance(outcome, LeaseLapsed):
+            return _Reply(404, b"lease does not exist")
+        return await self._write_outcome(outcome)
+
+    async def _delete(self, request: _Request, key: str) -> _Reply:
+        self.calls_by_kind["delete"] += 1
+        return await self._write_outcome(self.core.delete(key, _if_revision(request)))
+
+    async def _write_outcome(self, outcome: Stored | Conflict | Missing) -> _Reply:
+        if isinstance(outcome, Conflict):
+            return _Reply(409, revision=outcome.revision)
+        if isinstance(outcome, Missing):
+            return _Reply(404, revision=0)
+        await self._notify()
+        return _Reply(200, revision=outcome.revision)
+
+    async def _list(self, request: _Request, prefix: str) -> _Reply:
+        self.calls_by_kind["list"] += 1
+        entries = [
+            {
+                "key": entry.key,
+                "revision": entry.revision,
+                "value": base64.b64encode(entry.value).decode(),
+            }
+            for entry in self.core.list(prefix)
+        ]
+        return _Reply(200, msgspec.json.encode(entries))
+
+    async def _grant(self, request: _Request, _: str) -> _Reply:
+        self.calls_by_kind["lease_grant"] += 1
+        ttl_s = int(request.parameters["ttl_ms"]) / 1000
+        lease_id = self.core.grant_lease(ttl_s, time.monotonic())
+        return _Reply(200, msgspec.json.encode({"lease_id": lease_id}))
+
+    async def _renew(self, request: _Request, lease_id: str) -> _Reply:
+        self.calls_by_kind["lease_renew"] += 1
+        held = isinstance(self.core.renew_lease(lease_id, time.monotonic()), LeaseHeld)
+        return _Reply(200 if held else 404)
+
+    async def _revoke(self, request: _Request, lease_id: str) -> _Reply:
+        self.calls_by_kind["lease_revoke"] += 1
+        held = isinstance(self.core.revoke_lease(lease_id), LeaseHeld)
+        return _Reply(200 if held else 404)
+
+    async def _notify(self) -> None:
+        async with self._changed:
+            self._changed.notify_all()
+
+
+def _parse(head: h11.Request, body: bytes) -> _Request:
+    url = urlsplit(head.target.decode())
+    parameters = {name: values[0] for name, values in parse_qs(url.query).items()}
+    return _Request(head.method.decode(), url.path, parameters, body)
+
+
+def _if_revision(request: _Request) -> int | None:
+    text = request.parameters.get("if_revision")
+    return None if text is None else int(text)
+
+
+async def _run(listen: Address) -> None:
+    server = StoreServer(listen)
+    await server.start()
+    print(f"store listens on {server.address}", flush=True)
+    stopped = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stopped.set)
+    await stopped.wait()
+    await server.close()
+
+
+def main() -> None:
+    """Run the stand-in until SIGTERM."""
+    parser = argparse.ArgumentParser(description=__doc__.splitlines()[0])
+    parser.add_argument("--listen", metavar="IP:PORT", type=parse_address, required=True)
+    asyncio.run(_run(parser.parse_args().listen))
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/tests/test_store.py
@@ -0,0 +1,176 @@
+"""Guards against store outcomes that hide an outage or a write that may have taken effect."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import sys
+
+import pytest
+
+from jaypost.records import Address
+from jaypost.store import (
+    Conflict,
+    Effect,
+    Found,
+    LeaseGranted,
+    LeaseHeld,
+    LeaseLapsed,
+    Listed,
+    Missing,
+    StoreClient,
+    Stored,
+    StoreEntry,
+    StoreFailed,
+    Unchanged,
+)
+from standins.store import Faults, StoreServer
+
+ANY_PORT = Address("127.0.0.1", 0)
+KEY = "seeds/addis-a/n 1/é?"
+
+
+@contextlib.asynccontextmanager
+async def running(timeout_s=5.0):
+    server = StoreServer(ANY_PORT)
+    await server.start()
+    client = StoreClient(server.address, timeout_s)
+    await client.start()
+    try:
+        yield server, client
+    finally:
+        await client.close()
+        await client.close()
+        await server.close()
+
+
+async def test_compare_and_swap_list_and_delete():
+    async with running() as (server, client):
+        assert await client.get(KEY) == Missing()
+        assert await client.put(KEY, b"one", 0) == Stored(1)
+        assert await client.put(KEY, b"two", 0) == Conflict(1)
+        assert await client.put(KEY, b"two", 1) == Stored(2)
+        assert await client.put("other", b"", None) == Stored(3)
+        assert await client.get(KEY) == Found(b"two", 2)
+        assert await client.list("seeds/addis-a/") == Listed((StoreEntry(KEY, 2, b"two"),))
+        assert await client.delete(KEY, 1) == Conflict(2)
+        assert await client.delete(KEY, 2) == Stored(4)
+        assert await client.delete(KEY, None) == Missing()
+        assert await client.put(KEY, b"x" * (1 << 20), 0) == Stored(5)
+        assert server.calls_by_kind == {"get": 2, "put": 5, "list": 1, "delete": 3}
+
+
+async def test_watch_returns_on_change_and_after_the_wait():
+    async with running() as (server, client):
+        assert await client.watch("k", 0, 0.01) == Unchanged(0)
+        watch = asyncio.create_task(client.watch("k", 0, 60))
+        await asyncio.sleep(0.01)
+        await client.put("k", b"v", 0)
+        assert await watch == Found(b"v", 1)
+        assert await client.watch("k", 0, 60) == Found(b"v", 1)
+        assert await client.watch("k", 1, 0.01) == Unchanged(1)
+        assert await client.watch("k", 9, 0.01) == Unchanged(1)
+        assert server.calls_by_kind["watch"] == 5
+
+
+async def test_lease_end_deletes_its_keys():
+    async with running() as (_, client):
+        granted = await client.grant_lease(60)
+        assert isinstance(granted, LeaseGranted)
+        await client.put("a", b"", 0, granted.lease_id)
+        assert await client.renew_lease(granted.lease_id) == LeaseHeld()
+        assert await client.revoke_lease(granted.lease_id) == LeaseLapsed()
+        assert await client.get("a") == Missing()
+        refused = await client.put("a", b"", 0, granted.lease_id)
+        assert isinstance(refused, StoreFailed) and refused.effect is Effect.NONE
+
+        short = await client.grant_lease(0.02)
+        await client.put("b", b"", 0, short.lease_id)
+        await asyncio.sleep(0.2)
+        assert await client.renew_lease(short.lease_id) == LeaseLapsed()
+        assert await client.get("b") == Missing()
+
+
+@pytest.mark.parametrize(
+    ("faults", "effect", "applied"),
+    [
+        (Faults(lose_answers=1), Effect.UNKNOWN, True),
+        (Faults(fail_writes=1), Effect.UNKNOWN, False),
+        (Faults(down=True), Effect.UNKNOWN, False),
+        (Faults(delay_ms=60_000), Effect.UNKNOWN, False),
+    ],
+)
+async def test_write_that_was_sent_has_unknown_effect(faults, effect, applied):
+    async with running(timeout_s=0.3) as (server, client):
+        await server.set_faults(faults)
+        failed = await client.put("k", b"v", 0)
+        assert isinstance(failed, StoreFailed) and failed.effect is effect
+        assert (server.core.get("k") == Found(b"v", 1)) is applied
+        await server.set_faults(Faults(down=True))
+        read = await client.get("k")
+        assert isinstance(read, StoreFailed) and read.effect is Effect.NONE
+
+
+async def test_write_that_could_not_be_sent_has_no_effect():
+    async with running() as (server, client):
+        await client.get("k")
+        await server.close()
+        # The client has to notice that the pooled connection was closed.
+        await asyncio.sleep(0.1)
+        failed = await client.put("k", b"v", 0)
+        assert isinstance(failed, StoreFailed) and failed.effect is Effect.NONE
+        await server.start()
+        assert await client.put("k", b"v", 0) == Stored(1)
+    closed = await client.put("k", b"v", 0)
+    assert isinstance(closed, StoreFailed) and closed.effect is Effect.NONE
+
+
+async def test_watch_ends_when_the_store_goes_down():
+    async with running() as (server, client):
+        watch = asyncio.create_task(client.watch("k", 0, 60))
+        await asyncio.sleep(0.01)
+        await server.set_faults(Faults(down=True))
+        assert isinstance(await watch, StoreFailed)
+
+
+@pytest.mark.parametrize(
+    "answer",
+    [
+        b"HTTP/1.1 200 OK\r\ncontent-length: 1\r\n\r\nv",
+        b"HTTP/1.1 200 OK\r\ncontent-length: 9\r\nx-revision: 1\r\n\r\nv",
+        b"HTTP/1.1 200 OK\r\ncontent-length: 1\r\nx-revision: one\r\n\r\nv",
+        b"HTTP/1.1 500 No\r\ncontent-length: 0\r\n\r\n",
+        b"\x00\x00\r\n\r\n",
+        b"",
+    ],
+)
+async def test_malformed_answers_are_outcomes(answer):
+    async def serve(reader, writer):
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(answer)
+        writer.close()
+
+    server = await asyncio.start_server(serve, "127.0.0.1", 0)
+    client = StoreClient(Address(*server.sockets[0].getsockname()), 5)
+    await client.start()
+    calls = [client.get("k"), client.watch("k", 0, 1), client.list("k"), client.grant_lease(1)]
+    outcomes = [await call for call in calls]
+    written = await client.put("k", b"", 0)
+    await client.close()
+    server.close()
+    assert {type(outcome) for outcome in outcomes} == {StoreFailed}
+    assert isinstance(written, StoreFailed) and written.effect is Effect.UNKNOWN
+
+
+async def test_stand_in_runs_as_a_process():
+    process = await asyncio.create_subprocess_exec(
+        *(sys.executable, "-m", "standins.store", "--listen", "127.0.0.1:0"),
+        stdout=asyncio.subprocess.PIPE,
+    )
+    line = (await process.stdout.readline()).decode()
+    client = StoreClient(Address("127.0.0.1", int(line.rpartition(":")[2])), 5)
+    await client.start()
+    assert await client.put("k", b"v", 0) == Stored(1)
+    await client.close()
+    process.terminate()
+    assert await process.wait() == 0
