--- /dev/null
+++ b/jaypost/view.py
@@ -0,0 +1,666 @@
+"""What one node knows about the fleet: node records, their reachability and the known targets.
+
+The view is pure: time and randomness are passed in, and it does no input or output.
+"""
+
+from __future__ import annotations
+
+import heapq
+import random
+from collections.abc import Callable, Iterable, Mapping, Sequence
+from dataclasses import dataclass, replace
+from enum import StrEnum
+from types import MappingProxyType
+
+import xxhash
+
+from jaypost.records import (
+    Accusation,
+    Address,
+    NodeRecord,
+    NodeState,
+    PlacedTarget,
+    Stamp,
+    Target,
+    TargetState,
+)
+
+BUCKET_FANOUT = 32  # top buckets, and leaf buckets in each of them
+LEAF_COUNT = BUCKET_FANOUT * BUCKET_FANOUT
+FORGET_UNREACHABLE_S = 24 * 3600.0
+FORGET_LEFT_S = 600.0
+# Other nodes forget a record seconds earlier or later; the stamp is refused for this long, so that
+# a node that still holds the record does not bring it back.
+TOMBSTONE_S = 3600.0
+# A node that was contacted raises its stamp within seconds; until that arrives, repeated copies of
+# the old accusation are ignored.
+CONTACT_GRACE_S = 10.0
+# A larger gap between two calls of `expire` means that this process was paused. Refutations that
+# arrived meanwhile are still unread, so pending accusations get the lost time back.
+PAUSE_GAP_S = 2.0
+SAMPLE_TRIES_PER_NODE = 8
+
+
+class Scope(StrEnum):
+    """Where `MembershipView.sample` looks for nodes, as seen from the own node."""
+
+    DOMAIN = "domain"
+    REGION = "region"
+    CROSS_REGION = "cross_region"
+
+
+class AccusationOutcome(StrEnum):
+    """What an accusation changed in the view."""
+
+    NEW = "new"
+    KNOWN = "known"
+    STALE = "stale"
+    REFUTED = "refuted"
+
+
+@dataclass(frozen=True, slots=True)
+class AgedAccusation:
+    """An accusation with the time in seconds since it was first made."""
+
+    accusation: Accusation
+    age_s: float
+
+
+@dataclass(frozen=True, slots=True)
+class _Suspicion:
+    stamp: Stamp
+    since: float
+    unreachable_at: float
+    spread: bool
+
+
+@dataclass(frozen=True, slots=True)
+class _Contact:
+    stamp: Stamp
+    at: float
+
+
+@dataclass(frozen=True, slots=True)
+class _Tombstone:
+    stamp: Stamp
+    until: float
+
+
+@dataclass(frozen=True, slots=True)
+class _Entry:
+    record: NodeRecord
+    digest: int
+    leaf: int
+
+
+class _IdList:
+    """Node identifiers with constant-time insertion, removal and random choice."""
+
+    def __init__(self) -> None:
+        self.ids: list[str] = []
+        self._index_by_id: dict[str, int] = {}
+
+    def add(self, node_id: str) -> None:
+        if node_id not in self._index_by_id:
+            self._index_by_id[node_id] = len(self.ids)
+            self.ids.append(node_id)
+
+    def remove(self, node_id: str) -> None:
+        index = self._index_by_id.pop(node_id, None)
+        if index is None:
+            return
+        last = self.ids.pop()
+        if last != node_id:
+            self.ids[index] = last
+            self._index_by_id[last] = index
+
+
+def reader_rank(failure_domain: str, node_id: str) -> int:
+    """Return the rank of a node among the readers of its domain; the lowest ranks read."""
+    return xxhash.xxh64_intdigest(f"{failure_domain}\0{node_id}")
+
+
+def _leaf_of(node_id: str) -> int:
+    return xxhash.xxh64_intdigest(node_id) % LEAF_COUNT
+
+
+def _digest_of(record: NodeRecord) -> int:
+    stamp = record.stamp
+    return xxhash.xxh64_intdigest(f"{record.node_id}\0{stamp.incarnation}\0{stamp.sequence}")
+
+
+def _shown_targets(record: NodeRecord) -> tuple[Target, ...]:
+    if record.state is NodeState.LEFT:
+        return ()
+    return tuple(target for target in record.targets if target.state is not TargetState.GONE)
+
+
+class MembershipView:
+    """Node records merged by stamp, with reachability and indexes that are kept up to date.
+
+    Parameters
+    ----------
+    own : NodeRecord
+        Record of the node that holds this view.
+    now : float
+        Monotonic time in seconds.
+    suspicion_s : float
+        Time that an accused node has to refute.
+    reader_count : int
+        Readers in each failure domain.
+    """
+
+    def __init__(
+        self, own: NodeRecord, now: float, suspicion_s: float = 5.0, reader_count: int = 2
+    ) -> None:
+        self._own_id = own.node_id
+        self._suspicion_s = suspicion_s
+        self._reader_count = reader_count
+        self._expired_at = now
+        self._entry_by_id: dict[str, _Entry] = {}
+        self._ids_by_domain: dict[str, _IdList] = {}
+        self._region_by_domain: dict[str, str] = {}
+        self._ids_by_leaf: list[set[str]] = [set() for _ in range(LEAF_COUNT)]
+        self._leaf_hashes = [0] * LEAF_COUNT
+        self._top_hashes = [0] * BUCKET_FANOUT
+        self._root = 0
+        self._suspicion_by_id: dict[str, _Suspicion] = {}
+        self._unreachable: set[str] = set()
+        self._contact_by_id: dict[str, _Contact] = {}
+        self._left_at_by_id: dict[str, float] = {}
+        self._tombstone_by_id: dict[str, _Tombstone] = {}
+        self._cut_since_by_domain: dict[str, float] = {}
+        self._ids_by_service: dict[str, set[str]] = {}
+        self._placed_by_service: dict[str, tuple[PlacedTarget, ...]] = {}
+        self._stale_services: set[str] = set()
+        self._shown: Mapping[str, tuple[PlacedTarget, ...]] = MappingProxyType({})
+        self._readers_by_domain: dict[str, tuple[str, ...]] = {}
+        self.changes = 0
+        self._store(own)
+
+    # Records
+
+    @property
+    def own(self) -> NodeRecord:
+        """Return the record of the own node."""
+        return self._entry_by_id[self._own_id].record
+
+    def __len__(self) -> int:
+        return len(self._entry_by_id)
+
+    def get(self, node_id: str) -> NodeRecord | None:
+        """Return the record of a node, or None when it is not known."""
+        entry = self._entry_by_id.get(node_id)
+        return entry.record if entry else None
+
+    def records(self) -> tuple[NodeRecord, ...]:
+        """Return every record, the own one included."""
+        return tuple(entry.record for entry in self._entry_by_id.values())
+
+    def update_own(
+        self,
+        state: NodeState | None = None,
+        targets: tuple[Target, ...] | None = None,
+        control_address: Address | None = None,
+    ) -> NodeRecord:
+        """Change the own record and raise its sequence."""
+        own = self.own
+        record = replace(
+            own,
+            state=own.state if state is None else state,
+            targets=own.targets if targets is None else targets,
+            control_address=control_address or own.control_address,
+            stamp=Stamp(own.stamp.incarnation, own.stamp.sequence + 1),
+        )
+        self._store(record)
+        return record
+
+    def merge(
+        self,
+        records: Iterable[NodeRecord],
+        now: float,
+        left_age_by_id: Mapping[str, float] | None = None,
+    ) -> tuple[NodeRecord, ...]:
+        """Take over the records that are newer than the known ones.
+
+        Parameters
+        ----------
+        records : iterable of NodeRecord
+            Records from another node, in any order.
+        now : float
+            Monotonic time in seconds.
+        left_age_by_id : Mapping[str, float], optional
+            Time in seconds since each left node of `records` left.
+
+        Returns
+        -------
+        tuple of NodeRecord
+            The records that were new to the view. When a copy of the own record is newer than the
+            own record, because the clock went backwards before a restart, the result has the own
+            record with a stamp above that copy.
+        """
+        ages = left_age_by_id or {}
+        news = []
+        for record in records:
+            if record.node_id == self._own_id:
+                if record.stamp.newer_than(self.own.stamp):
+                    news.append(self._raise_above(record.stamp))
+            elif self._accepts(record, now):
+                self._take(record, now, ages.get(record.node_id, 0.0))
+                news.append(record)
+        return tuple(news)
+
+    def _accepts(self, record: NodeRecord, now: float) -> bool:
+        if not self.wants(record.node_id, record.stamp):
+            return False
+        return not self._domain_forgotten(record.failure_domain, now)
+
+    def wants(self, node_id: str, stamp: Stamp) -> bool:
+        """Tell whether a record with this stamp would be new to the view."""
+        entry = self._entry_by_id.get(node_id)
+        if entry is not None:
+            return stamp.newer_than(entry.record.stamp)
+        tombstone = self._tombstone_by_id.get(node_id)
+        return tombstone is None or stamp.newer_than(tombstone.stamp)
+
+    def _take(self, record: NodeRecord, now: float, left_age_s: float) -> None:
+        self._tombstone_by_id.pop(record.node_id, None)
+        self._left_at_by_id.pop(record.node_id, None)
+        if record.state is NodeState.LEFT:
+            self._left_at_by_id[record.node_id] = now - left_age_s
+        suspicion = self._suspicion_by_id.get(record.node_id)
+        if suspicion is not None and record.stamp.newer_than(suspicion.stamp):
+            self._clear_suspicion(record.node_id)
+        self._store(record)
+
+    def _raise_above(self, stamp: Stamp) -> NodeRecord:
+        own = self.own
+        if stamp.incarnation > own.stamp.incarnation:
+            raised = Stamp(stamp.incarnation + 1, 0)
+        else:
+            raised = Stamp(own.stamp.incarnation, max(stamp.sequence, own.stamp.sequence) + 1)
+        record = replace(own, stamp=raised)
+        self._store(record)
+        return record
+
+    def _store(self, record: NodeRecord) -> None:
+        previous = self._entry_by_id.get(record.node_id)
+        entry = _Entry(record, _digest_of(record), _leaf_of(record.node_id))
+        if previous is not None:
+            self._remove_from_indexes(previous)
+        self._entry_by_id[record.node_id] = entry
+        self._add_to_indexes(entry)
+        if previous is None or self._shows_change(previous.record, record):
+            self._mark_changed(record.node_id)
+
+    @staticmethod
+    def _shows_change(before: NodeRecord, after: NodeRecord) -> bool:
+        return replace(before, stamp=after.stamp) != after
+
+    def _add_to_indexes(self, entry: _Entry) -> None:
+        record = entry.record
+        self._flip_hash(entry)
+        self._ids_by_leaf[entry.leaf].add(record.node_id)
+        self._ids_by_domain.setdefault(record.failure_domain, _IdList()).add(record.node_id)
+        self._region_by_domain[record.failure_domain] = record.region
+        for target in _shown_targets(record):
+            self._ids_by_service.setdefault(target.service, set()).add(record.node_id)
+
+    def _remove_from_indexes(self, entry: _Entry) -> None:
+        record = entry.record
+        self._flip_hash(entry)
+        self._ids_by_leaf[entry.leaf].discard(record.node_id)
+        self._ids_by_domain[record.failure_domain].remove(record.node_id)
+        self._readers_by_domain.pop(record.failure_domain, None)
+        for target in _shown_targets(record):
+            self._ids_by_service[target.service].discard(record.node_id)
+            self._stale_services.add(target.service)
+
+    def _flip_hash(self, entry: _Entry) -> None:
+        # XOR is its own inverse, so the same step adds and removes a record.
+        self._leaf_hashes[entry.leaf] ^= entry.digest
+        self._top_hashes[entry.leaf // BUCKET_FANOUT] ^= entry.digest
+        self._root ^= entry.digest
+
+    def _mark_changed(self, node_id: str) -> None:
+        record = self._entry_by_id[node_id].record
+        self._readers_by_domain.pop(record.failure_domain, None)
+        self._stale_services.update(target.service for target in record.targets)
+        self.changes += 1
+
+    # Hashes
+
+    def root_hash(self) -> int:
+        """Return the hash of the stamps of all records."""
+        return self._root
+
+    def bucket_hashes(self) -> tuple[int, ...]:
+        """Return the hash of each top bucket."""
+        return tuple(self._top_hashes)
+
+    def leaf_hashes(self, bucket: int) -> tuple[int, ...]:
+        """Return the hash of each leaf bucket of a top bucket."""
+        return tuple(self._leaf_hashes[bucket * BUCKET_FANOUT : (bucket + 1) * BUCKET_FANOUT])
+
+    def records_in(self, leaves: Iterable[int]) -> tuple[NodeRecord, ...]:
+        """Return the records in leaf buckets, numbered from 0 to `LEAF_COUNT` - 1."""
+        return tuple(
+            self._entry_by_id[node_id].record
+            for leaf in leaves
+            for node_id in sorted(self._ids_by_leaf[leaf])
+        )
+
+    # Reachability
+
+    def is_reachable(self, node_id: str) -> bool:
+        """Tell whether the node is known and is neither unreachable nor in a domain that is cut."""
+        entry = self._entry_by_id.get(node_id)
+        if entry is None or node_id in self._unreachable:
+            return False
+        return entry.record.failure_domain not in self._cut_since_by_domain
+
+    def accuse(
+        self, accusation: Accusation, now: float, age_s: float = 0.0, spread: bool = True
+    ) -> AccusationOutcome:
+        """Note that a node appears to have failed; it becomes unreachable unless it refutes.
+
+        Parameters
+        ----------
+        accusation : Accusation
+            The node and the stamp that it had.
+        now : float
+            Monotonic time in seconds.
+        age_s : float
+            Time in seconds since the accusation was first made.
+        spread : bool
+            Whether other nodes are told; False when the own node may be the isolated one.
+        """
+        node_id = accusation.node_id
+        entry = self._entry_by_id.get(node_id)
+        if entry is None or entry.record.stamp.newer_than(accusation.stamp):
+            return AccusationOutcome.STALE
+        if node_id == self._own_id:
+            return self._refute(accusation)
+        if entry.record.state is NodeState.LEFT or self._contacted(accusation, now):
+            return AccusationOutcome.STALE
+        held = self._suspicion_by_id.get(node_id)
+        if held is not None and not accusation.stamp.newer_than(held.stamp):
+            return self._reinforce(node_id, held, now - age_s, spread)
+        self._suspicion_by_id[node_id] = _Suspicion(
+            accusation.stamp, now - age_s, now + self._suspicion_s, spread
+        )
+        return AccusationOutcome.NEW
+
+    def _refute(self, accusation: Accusation) -> AccusationOutcome:
+        if self.own.state is NodeState.LEFT:
+            return AccusationOutcome.STALE
+        self._raise_above(accusation.stamp)
+        return AccusationOutcome.REFUTED
+
+    def _reinforce(
+        self, node_id: str, held: _Suspicion, since: float, spread: bool
+    ) -> AccusationOutcome:
+        self._suspicion_by_id[node_id] = replace(
+            held, since=min(held.since, since), spread=held.spread or spread
+        )
+        return AccusationOutcome.NEW if spread and not held.spread else AccusationOutcome.KNOWN
+
+    def _contacted(self, accusation: Accusation, now: float) -> bool:
+        contact = self._contact_by_id.get(accusation.node_id)
+        if contact is None or now - contact.at > CONTACT_GRACE_S:
+            return False
+        return not accusation.stamp.newer_than(contact.stamp)
+
+    def confirm_reachable(self, node_id: str, now: float) -> AgedAccusation | None:
+        """Note a contact with a node, which ends its accusation in this view.
+
+        Returns
+        -------
+        AgedAccusation or None
+            The accusation that other nodes know of. The node must be told, so that it refutes.
+        """
+        suspicion = self._suspicion_by_id.get(node_id)
+        if suspicion is None:
+            return None
+        self._contact_by_id[node_id] = _Contact(suspicion.stamp, now)
+        self._clear_suspicion(node_id)
+        if not suspicion.spread:
+            return None
+        return AgedAccusation(Accusation(node_id, suspicion.stamp), now - suspicion.since)
+
+    def _clear_suspicion(self, node_id: str) -> None:
+        self._suspicion_by_id.pop(node_id, None)
+        if node_id in self._unreachable:
+            self._unreachable.discard(node_id)
+            self._mark_changed(node_id)
+
+    def accusations(self, now: float) -> tuple[AgedAccusation, ...]:
+        """Return the accusations that other nodes may be told of."""
+        return tuple(
+            AgedAccusation(Accusation(node_id, held.stamp), now - held.since)
+            for node_id, held in self._suspicion_by_id.items()
+            if held.spread
+        )
+
+    def set_cut_domains(self, cut_since_by_domain: Mapping[str, float]) -> None:
+        """Set the failure domains without contact, each with the time since when."""
+        own_domain = self.own.failure_domain
+        wanted = {
+            domain: since for domain, since in cut_since_by_domain.items() if domain != own_domain
+        }
+        changed = wanted.keys() ^ self._cut_since_by_domain.keys()
+        self._cut_since_by_domain = wanted
+        for domain in changed:
+            for node_id in self._domain_ids(domain):
+                self._mark_changed(node_id)
+
+    def cut_domains(self) -> Mapping[str, float]:
+        """Return the failure domains without contact, each with the time since when."""
+        return MappingProxyType(self._cut_since_by_domain)
+
+    def _domain_forgotten(self, failure_domain: str, now: float) -> bool:
+        since = self._cut_since_by_domain.get(failure_domain)
+        return since is not None and now - since >= FORGET_UNREACHABLE_S
+
+    def expire(self, now: float) -> None:
+        """Apply what the passing of time changes: unreachable and forgotten nodes."""
+        gap = now - self._expired_at
+        self._expired_at = now
+        if gap > PAUSE_GAP_S:
+            self._extend_suspicions(gap)
+        for node_id, held in list(self._suspicion_by_id.items()):
+            if node_id not in self._unreachable and now >= held.unreachable_at:
+                self._unreachable.add(node_id)
+                self._mark_changed(node_id)
+            elif node_id in self._unreachable and now - held.since >= FORGET_UNREACHABLE_S:
+                self._forget(node_id, now)
+        for node_id, left_at in list(self._left_at_by_id.items()):
+            if now - left_at >= FORGET_LEFT_S:
+                self._forget(node_id, now)
+        for domain in [d for d in self._cut_since_by_domain if self._domain_forgotten(d, now)]:
+            for node_id in list(self._domain_ids(domain)):
+                self._remove(node_id)
+        self._drop_old_notes(now)
+
+    def _extend_suspicions(self, gap: float) -> None:
+        for node_id, held in self._suspicion_by_id.items():
+            if node_id not in self._unreachable:
+                extended = replace(held, unreachable_at=held.unreachable_at + gap)
+                self._suspicion_by_id[node_id] = extended
+
+    def _drop_old_notes(self, now: float) -> None:
+        for node_id, contact in list(self._contact_by_id.items()):
+            if now - contact.at > CONTACT_GRACE_S:
+                del self._contact_by_id[node_id]
+        for node_id, tombstone in list(self._tombstone_by_id.items()):
+            if now >= tombstone.until:
+                del self._tombstone_by_id[node_id]
+
+    def _forget(self, node_id: str, now: float) -> None:
+        stamp = self._entry_by_id[node_id].record.stamp
+        self._remove(node_id)
+        self._tombstone_by_id[node_id] = _Tombstone(stamp, now + TOMBSTONE_S)
+
+    def _remove(self, node_id: str) -> None:
+        self._mark_changed(node_id)
+        self._remove_from_indexes(self._entry_by_id.pop(node_id))
+        self._suspicion_by_id.pop(node_id, None)
+        self._unreachable.discard(node_id)
+        self._left_at_by_id.pop(node_id, None)
+
+    def left_ages(self, records: Iterable[NodeRecord], now: float) -> dict[str, float]:
+        """Return the time in seconds since each left node of `records` left."""
+        return {
+            record.node_id: now - self._left_at_by_id[record.node_id]
+            for record in records
+            if record.node_id in self._left_at_by_id
+        }
+
+    # Choices of nodes
+
+    def _domain_ids(self, failure_domain: str) -> Sequence[str]:
+        ids = self._ids_by_domain.get(failure_domain)
+        return ids.ids if ids else ()
+
+    def readers_of(self, failure_domain: str) -> tuple[str, ...]:
+        """Return the nodes of a domain that watch the store, in the order of their rank.
+
+        They are chosen among the reachable ready nodes. Joining nodes fill up missing places, so
+        that a domain that starts from nothing has readers at once.
+        """
+        readers = self._readers_by_domain.get(failure_domain)
+        if readers is None:
+            readers = self._choose_readers(failure_domain)
+            self._readers_by_domain[failure_domain] = readers
+        return readers
+
+    def _choose_readers(self, failure_domain: str) -> tuple[str, ...]:
+        candidates = []
+        for node_id in self._domain_ids(failure_domain):
+            state = self._entry_by_id[node_id].record.state
+            if node_id in self._unreachable or state in (NodeState.LEAVING, NodeState.LEFT):
+                continue
+            rank = reader_rank(failure_domain, node_id)
+            candidates.append((state is not NodeState.READY, rank, node_id))
+        return tuple(item[2] for item in heapq.nsmallest(self._reader_count, candidates))
+
+    def other_domains(self, scope: Scope) -> tuple[str, ...]:
+        """Return the known failure domains in a scope, without the own one."""
+        own = self.own
+        same_region = scope is Scope.REGION
+        return tuple(
+            domain
+            for domain, region in self._region_by_domain.items()
+            if domain != own.failure_domain
+            and (region == own.region) == same_region
+            and self._domain_ids(domain)
+        )
+
+    def sample(
+        self, rng: random.Random, scope: Scope, count: int, exclude: frozenset[str] = frozenset()
+    ) -> tuple[NodeRecord, ...]:
+        """Choose different random nodes of a scope, reachable ones first.
+
+        Unreachable nodes are chosen only when the scope has too few reachable ones. Nodes that
+        left are never chosen. In another domain or region the nodes come from one random domain.
+        """
+        if scope is Scope.DOMAIN:
+            return self.sample_domain(rng, self.own.failure_domain, count, exclude)
+        domains = self.other_domains(scope)
+        if not domains:
+            return ()
+        return self.sample_domain(rng, rng.choice(domains), count, exclude)
+
+    def sample_domain(
+        self,
+        rng: random.Random,
+        failure_domain: str,
+        count: int,
+        exclude: frozenset[str] = frozenset(),
+    ) -> tuple[NodeRecord, ...]:
+        """Choose different random nodes of a failure domain, reachable ones first."""
+        ids = self._domain_ids(failure_domain)
+        chosen = self._draw(rng, ids, count, lambda i: i not in exclude and self._answers(i))
+        if len(chosen) < count:
+            taken = exclude.union(chosen)
+            chosen += self._draw(
+                rng, ids, count - len(chosen), lambda i: i not in taken and self._may_return(i)
+            )
+        return tuple(self._entry_by_id[node_id].record for node_id in chosen)
+
+    def sample_unreachable(
+        self, rng: random.Random, failure_domain: str, count: int
+    ) -> tuple[NodeRecord, ...]:
+        """Choose random unreachable nodes of a failure domain, to learn whether they are back."""
+        ids = [
+            node_id
+            for node_id in self._unreachable
+            if self._entry_by_id[node_id].record.failure_domain == failure_domain
+        ]
+        chosen = rng.sample(sorted(ids), min(count, len(ids)))
+        return tuple(self._entry_by_id[node_id].record for node_id in chosen)
+
+    def _answers(self, node_id: str) -> bool:
+        return node_id not in self._unreachable and self._may_return(node_id)
+
+    def _may_return(self, node_id: str) -> bool:
+        state = self._entry_by_id[node_id].record.state
+        return node_id != self._own_id and state is not NodeState.LEFT
+
+    @staticmethod
+    def _draw(
+        rng: random.Random, ids: Sequence[str], count: int, accepts: Callable[[str], bool]
+    ) -> list[str]:
+        chosen: list[str] = []
+        if not ids:
+            return chosen
+        for _ in range(SAMPLE_TRIES_PER_NODE * count):
+            node_id = ids[rng.randrange(len(ids))]
+            if node_id not in chosen and accepts(node_id):
+                chosen.append(node_id)
+                if len(chosen) == count:
+                    return chosen
+        # Few nodes qualify: look at each of them instead of drawing further.
+        rest = [node_id for node_id in ids if node_id not in chosen and accepts(node_id)]
+        return chosen + rng.sample(rest, min(count - len(chosen), len(rest)))
+
+    # Targets
+
+    def targets_by_service(self, now: float) -> Mapping[str, tuple[PlacedTarget, ...]]:
+        """Return the known targets of each service.
+
+        Targets of unreachable nodes stay in the result with ``reachable`` false, so that a failure
+        detector never empties a service. Only services of changed nodes are built again.
+        """
+        self.expire(now)
+        if not self._stale_services:
+            return self._shown
+        for service in self._stale_services:
+            placed = self._place(service)
+            if placed:
+                self._placed_by_service[service] = placed
+            else:
+                self._placed_by_service.pop(service, None)
+                self._ids_by_service.pop(service, None)
+        self._stale_services.clear()
+        self._shown = MappingProxyType(dict(self._placed_by_service))
+        return self._shown
+
+    def _place(self, service: str) -> tuple[PlacedTarget, ...]:
+        placed = []
+        for node_id in sorted(self._ids_by_service.get(service, ())):
+            record = self._entry_by_id[node_id].record
+            reachable = self.is_reachable(node_id)
+            for target in _shown_targets(record):
+                if target.service == service:
+                    placed.append(
+                        PlacedTarget(
+                            target,
+                            node_id,
+                            record.failure_domain,
+                            record.region,
+                            record.peer_address,
+                            reachable,
+                        )
+                    )
+        return tuple(placed)
