--- a/standins/decisions.py
+++ b/standins/decisions.py
@@ -106,7 +106,7 @@
     def handle(self, message: Message) -> tuple[Decision, ...]:
         """Apply `message` and return the decisions it brought about."""
         if isinstance(message, Admit):
-            return (self._admit(message),)
+            return (self._take_slot(message),)
         if isinstance(message, SetTargets):
             self._slots = {target.target_id: target.slots for target in message.targets}
         elif isinstance(message, Release | Cancel):
@@ -115,7 +115,7 @@
             assert isinstance(message, Tick)
         return ()
 
-    def _admit(self, message: Admit) -> Decision:
+    def _take_slot(self, message: Admit) -> Decision:
         target_id = message.target_id
         busy = self.busy.setdefault(target_id, set())
         waiting = self.waiting.setdefault(target_id, deque())
