Test the decisions of the request path

Change: parameterised tables and derandomised state machines for admission, health, budgets and claims. Crowding is kept apart for targets inside and outside the region, so that a full region does not hide free targets beyond it, and a refusal of a queue lets a request leave the region.

--- a/jaypost/placement.py
+++ b/jaypost/placement.py
@@ -5,7 +5,7 @@
 import math
 import random
 from collections.abc import Mapping
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from jaypost.errors import ErrorKind
 from jaypost.health import SHED_STATUS, Observation, TargetHealth
@@ -28,6 +28,7 @@
 UNKNOWN_WAIT = 1.0
 FULL_GAIN = 0.25
 LATENCY_GAIN = 0.1
+ASSUMED_LATENCY_S = 0.02
 TIE_S = 1e-6
 
 QUEUE_REFUSALS = frozenset({ErrorKind.QUEUE_FULL, ErrorKind.DEADLINE_TOO_SHORT})
@@ -127,6 +128,7 @@
 
     utilisation: float = 0.0
     queued: int = 0
+    tier: int = 0
     hint_at: float = float("-inf")
     full_until: float = float("-inf")
     long_full_until: float = float("-inf")
@@ -135,20 +137,47 @@
     inflight: int = 0
     inflight_at_hint: int = 0
 
+    def refused_queue(self, now: float) -> bool:
+        """Tell whether the target just refused a request that had leave to queue."""
+        return now - self.queue_refused_at <= QUEUE_REFUSAL_MEMORY_S
+
 
 @dataclass(slots=True)
-class _ServiceState:
-    """Targets of a service by tier, and how often they were full lately."""
+class _Crowding:
+    """How full the targets of a service were lately, inside or outside the region."""
 
-    targets: tuple[PlacedTarget, ...]
-    tiers: tuple[tuple[PlacedTarget, ...], ...]
     full_share: float = 0.0
     full_at: float = float("-inf")
     utilisation: float = 0.0
     queued_mean: float = 0.0
+
+    def learn(self, load: _TargetLoad, full: bool, now: float) -> None:
+        """Take one reported load into account."""
+        self.full_share += FULL_GAIN * (float(full) - self.full_share)
+        self.utilisation += FULL_GAIN * (load.utilisation - self.utilisation)
+        self.queued_mean += FULL_GAIN * (load.queued - self.queued_mean)
+        self.full_at = now
+
+    def is_saturated(self, now: float) -> bool:
+        """Tell whether nearly every target was full lately."""
+        return self.full_share > SATURATED_SHARE and now - self.full_at < SATURATION_MEMORY_S
+
+
+@dataclass(slots=True)
+class _ServiceState:
+    """Targets of a service by tier, and how full they were lately."""
+
+    targets: tuple[PlacedTarget, ...]
+    tiers: tuple[tuple[PlacedTarget, ...], ...]
+    near: _Crowding = field(default_factory=_Crowding)
+    remote: _Crowding = field(default_factory=_Crowding)
     latency_s: float = 0.0
     near_full_since: float = float("inf")
 
+    def crowding(self, tier: int) -> _Crowding:
+        """Return the crowding that a tier belongs to."""
+        return self.remote if tier == REMOTE_TIER else self.near
+
 
 class Placement:
     """Chooses targets from the load and health that the ingress knows.
@@ -204,9 +233,9 @@
         tiers = self._usable_tiers(state, question)
         if not any(tiers):
             return NoTarget(ErrorKind.NO_TARGET)
-        if self._queues_are_full(state, question):
+        if self._queues_are_full(state, tiers, question):
             return NoTarget(ErrorKind.QUEUE_FULL)
-        if not question.last_attempt and not self._is_saturated(state, question.now):
+        if not question.last_attempt:
             target = self._free_target(state, tiers, question)
             if target is not None:
                 return Chosen(target, may_queue=False)
@@ -225,7 +254,7 @@
         state = self._state_by_service.pop(service, None)
         if state is None:
             return
-        self._health.set_targets(service, (), state.full_at)
+        self._health.set_targets(service, (), state.near.full_at)
         for placed in state.targets:
             self._load_by_id.pop(placed.target.target_id, None)
 
@@ -284,21 +313,25 @@
             return False
         return self._health.weight(placed.target.target_id, now) > 0.0
 
-    def _is_saturated(self, state: _ServiceState, now: float) -> bool:
-        return state.full_share > SATURATED_SHARE and now - state.full_at < SATURATION_MEMORY_S
-
-    def _queues_are_full(self, state: _ServiceState, question: ChooseTarget) -> bool:
+    def _queues_are_full(
+        self,
+        state: _ServiceState,
+        tiers: tuple[tuple[PlacedTarget, ...], ...],
+        question: ChooseTarget,
+    ) -> bool:
         """Tell whether the queue that refused this request is no longer than the others.
 
         Another attempt would then only take the place of another request.
         """
-        if not self._is_saturated(state, question.now):
+        if any(tiers[REMOTE_TIER:]) and not state.remote.is_saturated(question.now):
             return False
         for target_id in question.tried:
             load = self._load_by_id.get(target_id)
-            if load is None or question.now - load.queue_refused_at > QUEUE_REFUSAL_MEMORY_S:
+            if load is None or not load.refused_queue(question.now):
                 continue
-            if state.queued_mean >= FULL_QUEUE_FRACTION * load.queued:
+            crowding = state.crowding(load.tier)
+            longest = FULL_QUEUE_FRACTION * load.queued
+            if crowding.is_saturated(question.now) and crowding.queued_mean >= longest:
                 return True
         return False
 
@@ -309,8 +342,10 @@
         question: ChooseTarget,
     ) -> PlacedTarget | None:
         for number, tier in enumerate(tiers):
+            if state.crowding(number).is_saturated(question.now):
+                continue
             free = [item for item in tier if self._is_free(item, question)]
-            if number == REMOTE_TIER and free and not self._pays(state, tiers, question.now):
+            if number == REMOTE_TIER and free and not self._pays(state, tiers, question):
                 return None
             if free:
                 if number < REMOTE_TIER:
@@ -332,11 +367,14 @@
         self,
         state: _ServiceState,
         tiers: tuple[tuple[PlacedTarget, ...], ...],
-        now: float,
+        question: ChooseTarget,
     ) -> bool:
         near = [item for tier in tiers[:REMOTE_TIER] for item in tier]
         if not near:
             return True
+        if any(self._refused_queue(item, question) for item in near):
+            return True
+        now = question.now
         wait_s = min(self._wait(state, item, now) for item in near)
         if wait_s <= self._tier_cost_s[REMOTE_TIER]:
             state.near_full_since = float("inf")
@@ -350,11 +388,20 @@
         tiers: tuple[tuple[PlacedTarget, ...], ...],
         question: ChooseTarget,
     ) -> PlacedTarget:
-        near = [item for tier in tiers[:REMOTE_TIER] for item in tier]
-        if not near or self._pays(state, tiers, question.now):
-            near = [item for tier in tiers for item in tier]
-        costs = [self._cost(state, item, question.now) for item in near]
-        return near[costs.index(min(costs))]
+        candidates = [item for tier in tiers[:REMOTE_TIER] for item in tier]
+        if not candidates or self._pays(state, tiers, question):
+            candidates = [item for tier in tiers for item in tier]
+        open_queues = [item for item in candidates if not self._refused_queue(item, question)]
+        candidates = open_queues or candidates
+        costs = [self._cost(state, item, question.now) for item in candidates]
+        return candidates[costs.index(min(costs))]
+
+    def _refused_queue(self, placed: PlacedTarget, question: ChooseTarget) -> bool:
+        target_id = placed.target.target_id
+        if target_id not in question.tried:
+            return False
+        load = self._load_by_id.get(target_id)
+        return load is not None and load.refused_queue(question.now)
 
     def _cost(self, state: _ServiceState, placed: PlacedTarget, now: float) -> float:
         wait_s = self._wait(state, placed, now)
@@ -363,7 +410,9 @@
         return wait_s + doubt_s + self._tier_cost_s[self._tier(placed)] + tie_s
 
     def _wait(self, state: _ServiceState, placed: PlacedTarget, now: float) -> float:
-        return max(0.0, self._utilisation(state, placed, now) - 1.0) * state.latency_s
+        return max(0.0, self._utilisation(state, placed, now) - 1.0) * (
+            state.latency_s or ASSUMED_LATENCY_S
+        )
 
     def _better_of_two(
         self, state: _ServiceState, free: list[PlacedTarget], now: float
@@ -387,10 +436,11 @@
         was not asked lately is no better than the others.
         """
         load = self._load_by_id.get(placed.target.target_id)
+        usual = state.crowding(self._tier(placed)).utilisation
         if load is None:
-            return state.utilisation
+            return usual
         fresh = self._freshness(placed, now)
-        hinted = load.utilisation * fresh + state.utilisation * (1.0 - fresh)
+        hinted = load.utilisation * fresh + usual * (1.0 - fresh)
         own = max(0, load.inflight - load.inflight_at_hint)
         return hinted + own / (placed.target.slots or 1)
 
@@ -415,6 +465,7 @@
         if event.load is not None:
             load.utilisation = (event.load.busy + event.load.queued) / max(1, event.load.slots)
             load.queued = event.load.queued
+            load.tier = self._tier(event.target)
             load.hint_at, load.inflight_at_hint = event.now, load.inflight
         if event.kind in QUEUE_REFUSALS:
             load.queue_refused_at = event.now
@@ -447,10 +498,7 @@
         if hint is not None and not event.long_work:
             # The slot of an answered request is free again when its load is reported.
             full = refused or hint.busy >= hint.slots - 1
-            state.utilisation += FULL_GAIN * (load.utilisation - state.utilisation)
-            state.queued_mean += FULL_GAIN * (hint.queued - state.queued_mean)
-            state.full_share += FULL_GAIN * (float(full) - state.full_share)
-            state.full_at = event.now
+            state.crowding(load.tier).learn(load, full, event.now)
         if event.kind is None and not event.long_work:
             gain = LATENCY_GAIN if state.latency_s else 1.0
             state.latency_s += gain * (event.latency_s - state.latency_s)
--- /dev/null
+++ b/tests/test_claims.py
@@ -0,0 +1,299 @@
+"""Guards against a second dispatch of a keyed request under lost answers, races and pauses."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from dataclasses import dataclass
+
+import pytest
+from hypothesis import settings as hypothesis_settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, rule
+
+from jaypost.claims import CLAIM_LEASE_S, Claimed, Claims, ClaimUnavailable, Duplicate
+
+DAY_S = 86_400.0
+
+
+@dataclass(frozen=True)
+class Found:
+    value: bytes
+    revision: int
+
+
+@dataclass(frozen=True)
+class Missing:
+    revision: int
+
+
+@dataclass(frozen=True)
+class Stored:
+    revision: int
+
+
+@dataclass(frozen=True)
+class Conflict:
+    revision: int
+
+
+@dataclass(frozen=True)
+class StoreFailed:
+    reason: str
+    effect: str
+
+
+@dataclass(frozen=True)
+class LeaseGranted:
+    lease_id: str
+
+
+class _Pause:
+    def __await__(self):
+        yield
+
+
+class FakeStore:
+    """Store whose next call can fail, lose its answer or take effect later."""
+
+    def __init__(self, pausing=False):
+        self.now = 0.0
+        self.revision = 0
+        self.entry_by_key = {}
+        self.expiry_by_lease = {}
+        self.faults = []
+        self.delayed = []
+        self.calls = []
+        self.pausing = pausing
+
+    async def _enter(self, call):
+        if self.pausing:
+            await _Pause()
+        self.calls.append(call)
+        return self.faults.pop(0) if self.faults else "none"
+
+    def _read(self, key):
+        entry = self.entry_by_key.get(key)
+        if entry is not None and self.expiry_by_lease[entry[2]] <= self.now:
+            del self.entry_by_key[key]
+            return None
+        return entry
+
+    def _write(self, key, value, if_revision, lease_id):
+        if self.expiry_by_lease.get(lease_id, 0.0) <= self.now:
+            return StoreFailed("lease expired", "none")
+        entry = self._read(key)
+        if (entry[1] if entry else 0) != if_revision:
+            return Conflict(entry[1] if entry else 0)
+        self.revision += 1
+        self.entry_by_key[key] = (value, self.revision, lease_id)
+        return Stored(self.revision)
+
+    async def get(self, key):
+        if await self._enter("get") != "none":
+            return StoreFailed("away", "none")
+        entry = self._read(key)
+        return Found(*entry[:2]) if entry else Missing(self.revision)
+
+    async def put(self, key, value, if_revision, lease_id=None):
+        fault = await self._enter("put")
+        if fault == "away":
+            return StoreFailed("away", "none")
+        if fault == "delayed":
+            self.delayed.append((key, value, if_revision, lease_id))
+            return StoreFailed("timed out", "unknown")
+        if fault == "request lost":
+            return StoreFailed("timed out", "unknown")
+        outcome = self._write(key, value, if_revision, lease_id)
+        return StoreFailed("timed out", "unknown") if fault == "answer lost" else outcome
+
+    async def delete(self, key, if_revision):
+        fault = await self._enter("delete")
+        if fault in ("away", "request lost", "delayed"):
+            return StoreFailed("away", "none" if fault == "away" else "unknown")
+        entry = self._read(key)
+        if entry is None or entry[1] != if_revision:
+            return Conflict(0)
+        del self.entry_by_key[key]
+        return StoreFailed("timed out", "unknown") if fault == "answer lost" else Stored(0)
+
+    async def grant_lease(self, ttl_s):
+        if await self._enter("grant_lease") != "none":
+            return StoreFailed("away", "unknown")
+        lease_id = f"lease{len(self.expiry_by_lease)}"
+        self.expiry_by_lease[lease_id] = self.now + ttl_s
+        return LeaseGranted(lease_id)
+
+
+def node(store, seed=1, rate=100.0):
+    return Claims(store, rate, random.Random(seed))
+
+
+async def test_claim_costs_one_write_and_shares_its_lease():
+    store = FakeStore()
+    claims = node(store)
+    for number in range(3):
+        assert isinstance(await claims.claim("pay", f"k{number}", "r", 0.0), Claimed)
+    assert store.calls == ["grant_lease", "put", "put", "put"]
+    await claims.claim("pay", "k9", "r", 3600.0)
+    assert store.calls.count("grant_lease") == 2
+
+
+async def test_claims_made_together_grant_one_lease():
+    store = FakeStore()
+    claims = node(store)
+    await asyncio.gather(*(claims.claim("pay", f"k{number}", "r", 0.0) for number in range(5)))
+    assert store.calls.count("grant_lease") == 1
+
+
+@pytest.mark.parametrize("made_at", [0.0, 1800.0, 3580.0])
+async def test_claim_lives_at_least_a_day(made_at):
+    store = FakeStore()
+    claims = node(store)
+    await claims.claim("pay", "first", "r", 0.0)
+    store.now = made_at
+    await claims.claim("pay", "k", "r1", made_at)
+    store.now = made_at + CLAIM_LEASE_S
+    outcome = await node(store, 2).claim("pay", "k", "r2", store.now)
+    assert outcome == Duplicate("r1", 0)
+
+
+async def test_duplicate_is_told_the_request_and_its_recorded_status():
+    store = FakeStore()
+    first, second = node(store), node(store, 2)
+    await first.claim("pay", "k", "r1", 0.0)
+    assert await second.claim("pay", "k", "r2", 0.0) == Duplicate("r1", 0)
+    await first.record("pay", "k", "r1", 201)
+    assert await second.claim("pay", "k", "r3", 0.0) == Duplicate("r1", 201)
+    assert isinstance(await second.claim("stock", "k", "r4", 0.0), Claimed)
+
+
+@pytest.mark.parametrize(
+    ("faults", "outcome"),
+    [
+        (["none", "answer lost"], Claimed),
+        (["none", "request lost"], Claimed),
+        (["none", "answer lost", "request lost"], ClaimUnavailable),
+        (["none", "answer lost", "none", "away"], ClaimUnavailable),
+        (["none", "away"], ClaimUnavailable),
+        (["away"], ClaimUnavailable),
+    ],
+)
+async def test_lost_answer_is_resolved_and_outage_refuses(faults, outcome):
+    store = FakeStore()
+    store.faults = faults
+    assert isinstance(await node(store).claim("pay", "k", "r1", 0.0), outcome)
+
+
+async def test_same_request_id_is_no_proof_of_ownership():
+    """A caller may repeat its request with the same id and key at another node."""
+    store = FakeStore()
+    assert isinstance(await node(store, 1).claim("pay", "k", "r1", 0.0), Claimed)
+    store.faults = ["none", "answer lost"]
+    assert await node(store, 2).claim("pay", "k", "r1", 0.0) == Duplicate("r1", 0)
+
+
+@pytest.mark.parametrize("fault", ["none", "away", "answer lost", "request lost"])
+async def test_withdrawn_key_can_be_claimed_again(fault):
+    store = FakeStore()
+    claims = node(store)
+    await claims.claim("pay", "k", "r1", 0.0)
+    store.faults = [fault]
+    await claims.withdraw("pay", "k", "r1")
+    await claims.settle()
+    assert isinstance(await node(store, 2).claim("pay", "k", "r2", 0.0), Claimed)
+
+
+async def test_unconfirmed_claim_is_withdrawn_later():
+    store = FakeStore()
+    claims = node(store)
+    store.faults = ["none", "answer lost", "request lost"]
+    assert isinstance(await claims.claim("pay", "k", "r1", 0.0), ClaimUnavailable)
+    await claims.settle()
+    assert isinstance(await claims.claim("pay", "k", "r2", 0.0), Claimed)
+
+
+async def test_withdrawal_leaves_the_claim_of_another_node():
+    store = FakeStore()
+    await node(store).claim("pay", "k", "r1", 0.0)
+    await node(store, 2).withdraw("pay", "k", "r1")
+    assert isinstance(await node(store, 3).claim("pay", "k", "r2", 0.0), Duplicate)
+
+
+@pytest.mark.parametrize(("rate", "claimed"), [(0.0, 0), (2.0, 2), (0.5, 1)])
+async def test_rate_of_claims_is_capped(rate, claimed):
+    claims = node(FakeStore(), rate=rate)
+    outcomes = [await claims.claim("pay", f"k{number}", "r", 5.0) for number in range(9)]
+    assert sum(isinstance(item, Claimed) for item in outcomes) == claimed
+
+
+class ClaimsMachine(RuleBasedStateMachine):
+    """Nodes that race, pause and lose answers dispatch a key at most once a day."""
+
+    def __init__(self):
+        super().__init__()
+        self.store = FakeStore(pausing=True)
+        self.nodes = [node(self.store, seed) for seed in range(3)]
+        self.number = 0
+        self.open = [None] * 3
+        self.claimed = []
+        self.dispatched_at = {}
+
+    @rule(index=st.integers(0, 2), key=st.sampled_from("xy"))
+    def begin(self, index, key):
+        if self.open[index] is None:
+            self.number += 1
+            request_id = f"r{self.number % 2}"
+            claim = self.nodes[index].claim("pay", key, request_id, self.store.now)
+            self.open[index] = (claim, key, request_id)
+
+    @rule(index=st.integers(0, 2), steps=st.integers(1, 4))
+    def go_on(self, index, steps):
+        for _ in range(steps):
+            if self.open[index] is None:
+                return
+            call, key, request_id = self.open[index]
+            try:
+                call.send(None)
+            except StopIteration as ended:
+                self.open[index] = None
+                if isinstance(ended.value, Claimed):
+                    self.claimed.append((ended.value, index, key, request_id))
+
+    @rule(fault=st.sampled_from(["away", "answer lost", "request lost", "delayed", "none"]))
+    def add_fault(self, fault):
+        self.store.faults.append(fault)
+
+    @rule()
+    def deliver_delayed(self):
+        for write in self.store.delayed:
+            self.store._write(*write)
+        self.store.delayed.clear()
+
+    @rule(step=st.sampled_from([0.5, 9.0, 3600.0, 26 * 3600.0]))
+    def wait(self, step):
+        self.store.now += step
+
+    @rule(data=st.data(), run=st.booleans())
+    def resume(self, data, run):
+        if not self.claimed:
+            return
+        position = data.draw(st.integers(0, len(self.claimed) - 1))
+        claim, index, key, request_id = self.claimed.pop(position)
+        if run and claim.may_dispatch(self.store.now):
+            last = self.dispatched_at.get(key, -DAY_S)
+            assert self.store.now - last >= DAY_S - 20.0
+            self.dispatched_at[key] = self.store.now
+        elif self.open[index] is None:
+            self.open[index] = (self.nodes[index].withdraw("pay", key, request_id), key, "")
+
+    def teardown(self):
+        for item in self.open:
+            if item is not None:
+                item[0].close()
+
+
+ClaimsMachine.TestCase.settings = hypothesis_settings(
+    derandomize=True, max_examples=200, stateful_step_count=50, deadline=None
+)
+TestClaimsMachine = ClaimsMachine.TestCase
--- /dev/null
+++ b/tests/test_health.py
@@ -0,0 +1,192 @@
+"""Guards against traffic to failed or slow targets and against ejecting a whole service."""
+
+from __future__ import annotations
+
+import random
+
+import pytest
+from hypothesis import settings as hypothesis_settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
+
+from jaypost.errors import ErrorKind
+from jaypost.health import Observation, TargetHealth
+
+IDS = ("t0", "t1", "t2", "t3")
+
+
+def listed(ids=IDS, **options):
+    health = TargetHealth(**options)
+    health.set_targets("docs", ids, 0.0)
+    return health
+
+
+def observe(health, target_id, now, kind=None, status=200, latency_s=0.01, **options):
+    if kind is not None:
+        status = 0
+    health.observe(Observation(target_id, "docs", kind, status, latency_s, now, **options))
+
+
+def answer_all(health, now, ids=IDS, rounds=5):
+    for _ in range(rounds):
+        for target_id in ids:
+            observe(health, target_id, now)
+
+
+@pytest.mark.parametrize(
+    ("kind", "status", "ejected"),
+    [
+        (ErrorKind.CONNECT_FAILED, 0, True),
+        (ErrorKind.OUTCOME_UNKNOWN, 0, True),
+        (None, 500, True),
+        (None, 503, False),
+        (None, 404, False),
+        (ErrorKind.SLOTS_FULL, 0, False),
+        (ErrorKind.QUEUE_FULL, 0, False),
+        (ErrorKind.DEADLINE_TOO_SHORT, 0, False),
+        (ErrorKind.CANCELLED, 0, False),
+        (ErrorKind.DRAINING, 0, False),
+    ],
+)
+def test_three_failures_in_a_row_eject_and_refusals_do_not(kind, status, ejected):
+    health = listed()
+    for number in range(3):
+        assert health.weight("t0", 1.0) == 1.0, number
+        observe(health, "t0", 1.0, kind, status)
+    assert (health.weight("t0", 1.0) == 0.0) is ejected
+
+
+def test_success_between_failures_keeps_a_target():
+    health = listed()
+    for _ in range(5):
+        observe(health, "t0", 1.0, ErrorKind.CONNECT_FAILED)
+        observe(health, "t0", 1.0, ErrorKind.CONNECT_FAILED)
+        observe(health, "t0", 1.0)
+    assert health.weight("t0", 1.0) == 1.0
+
+
+def test_straggler_is_ejected_within_a_few_requests():
+    health = listed()
+    answer_all(health, 1.0)
+    requests = 0
+    while health.weight("t0", 1.0) and requests < 10:
+        observe(health, "t0", 1.0, latency_s=0.05)
+        requests += 1
+    assert requests <= 5
+    assert health.weight("t1", 1.0) == 1.0
+
+
+@pytest.mark.parametrize(
+    ("latencies_s", "options"),
+    [
+        ([0.025] * 20, {}),
+        ([0.4], {}),
+        ([0.4] * 20, {"long_work": True}),
+    ],
+    ids=["below 3 times the median", "one unrecognised long request", "long work"],
+)
+def test_target_that_is_no_straggler_stays(latencies_s, options):
+    health = listed()
+    answer_all(health, 1.0)
+    for latency_s in latencies_s:
+        observe(health, "t0", 1.0, latency_s=latency_s, **options)
+    assert health.weight("t0", 1.0) == 1.0
+
+
+def test_common_slowdown_ejects_nobody():
+    health = listed()
+    answer_all(health, 1.0)
+    rng = random.Random(4)
+    for step in range(200):
+        observe(health, rng.choice(IDS), 1.0 + step / 100, latency_s=0.1 * rng.uniform(0.7, 1.3))
+    answer_all(health, 4.0)
+    assert all(health.weight(target_id, 4.0) == 1.0 for target_id in IDS)
+
+
+def test_target_that_goes_silent_is_ejected_without_an_answer():
+    health = listed()
+    answer_all(health, 1.0)
+    for _ in range(3):
+        health.started("t0", 1.0)
+    assert health.weight("t0", 1.9) == 1.0
+    assert health.weight("t0", 2.1) == 0.0
+
+
+def test_ejected_target_returns_through_growing_trials():
+    health = listed()
+    for _ in range(3):
+        observe(health, "t0", 1.0, ErrorKind.CONNECT_FAILED)
+    assert health.weight("t0", 1.9) == 0.0
+    weights = []
+    for _ in range(5):
+        weights.append(health.weight("t0", 2.1))
+        observe(health, "t0", 2.1)
+    assert weights == sorted(weights)
+    assert weights[0] == pytest.approx(0.1)
+    assert weights[-1] == 1.0
+
+
+def test_failed_trial_ejects_for_longer():
+    health = listed()
+    for _ in range(3):
+        observe(health, "t0", 1.0, ErrorKind.CONNECT_FAILED)
+    assert health.weight("t0", 2.1) > 0.0
+    observe(health, "t0", 2.1, ErrorKind.CONNECT_FAILED)
+    assert health.weight("t0", 3.9) == 0.0
+    assert health.weight("t0", 4.2) > 0.0
+
+
+@pytest.mark.parametrize(("age_s", "weight"), [(0.0, 0.1), (5.0, 0.55), (10.0, 1.0)])
+def test_target_that_joins_a_known_service_ramps_up(age_s, weight):
+    health = listed(ramp_s=10.0)
+    health.set_targets("docs", (*IDS, "new"), 50.0)
+    assert health.weight("new", 50.0 + age_s) == pytest.approx(weight)
+    assert health.weight("t0", 50.0) == 1.0
+
+
+class HealthMachine(RuleBasedStateMachine):
+    """At most half of a service is ejected, and some target always has a weight."""
+
+    def __init__(self):
+        super().__init__()
+        self.now = 0.0
+        self.ids = IDS
+        self.health = listed()
+
+    @rule(
+        number=st.integers(0, 5),
+        kind=st.sampled_from([None, None, ErrorKind.CONNECT_FAILED, ErrorKind.SLOTS_FULL]),
+        latency_s=st.sampled_from([0.01, 0.05, 1.0]),
+        times=st.integers(1, 4),
+    )
+    def answer(self, number, kind, latency_s, times):
+        for _ in range(times):
+            observe(self.health, f"t{number}", self.now, kind, latency_s=latency_s)
+
+    @rule(number=st.integers(0, 5), times=st.integers(1, 4))
+    def start(self, number, times):
+        for _ in range(times):
+            self.health.started(f"t{number}", self.now)
+
+    @rule(step=st.floats(0.0, 3.0))
+    def wait(self, step):
+        self.now += step
+
+    @rule(numbers=st.sets(st.integers(0, 5), min_size=1))
+    def change(self, numbers):
+        self.ids = tuple(f"t{number}" for number in sorted(numbers))
+        self.health.set_targets("docs", self.ids, self.now)
+
+    @invariant()
+    def half_remains(self):
+        weights = [self.health.weight(target_id, self.now) for target_id in self.ids]
+        ejected = sum(weight == 0.0 for weight in weights)
+        assert ejected <= len(self.ids) // 2
+        assert any(weights)
+        assert all(0.0 <= weight <= 1.0 for weight in weights)
+
+
+HealthMachine.TestCase.settings = hypothesis_settings(
+    derandomize=True, max_examples=100, stateful_step_count=40, deadline=None
+)
+TestHealthMachine = HealthMachine.TestCase
--- /dev/null
+++ b/tests/test_limits.py
@@ -0,0 +1,73 @@
+"""Guards against fleet limits that are exceeded or that lose capacity when divided."""
+
+from __future__ import annotations
+
+import pytest
+from hypothesis import given
+from hypothesis import settings as hypothesis_settings
+from hypothesis import strategies as st
+
+from jaypost.errors import ErrorKind
+from jaypost.invariants import InvariantViolationError
+from jaypost.limits import FleetLimits, LimitQuestion
+from jaypost.records import Row
+
+
+@pytest.mark.parametrize(
+    ("rate", "own", "fleet", "expected"),
+    [(100.0, 12, 84, 143), (100.0, 84, 84, 1000), (7.0, 12, 84, 10), (0.0, 12, 84, 5000)],
+)
+def test_host_passes_its_share_of_the_rate(rate, own, fleet, expected):
+    limits = FleetLimits()
+    row = Row("docs", rate_limit=rate)
+    passed = 0
+    for step in range(5000):
+        kind = limits.enter(LimitQuestion(row, own, fleet, step * 0.002))
+        passed += kind is None
+        assert kind in (None, ErrorKind.RATE_LIMITED)
+    assert abs(passed - expected) <= max(1.0, rate * own / fleet * 0.1) + 1
+
+
+def test_bucket_does_not_save_up_a_quiet_minute():
+    limits = FleetLimits()
+    row = Row("docs", rate_limit=10.0)
+    passed = [limits.enter(LimitQuestion(row, 1, 1, 60.0)) for _ in range(50)]
+    assert passed.count(None) == 1
+
+
+@hypothesis_settings(derandomize=True, deadline=None)
+@given(
+    limit=st.integers(1, 50),
+    slots=st.lists(st.integers(1, 12), min_size=1, max_size=9),
+)
+def test_shares_of_a_concurrency_limit_add_up_to_it(limit, slots):
+    row = Row("docs", concurrency_limit=limit)
+    admitted = 0
+    for number, own in enumerate(slots):
+        limits = FleetLimits()
+        question = LimitQuestion(row, own, sum(slots), 0.0, sum(slots[:number]))
+        while limits.enter(question) is None:
+            admitted += 1
+    assert admitted == limit
+
+
+def test_leave_makes_room_and_is_checked():
+    limits = FleetLimits()
+    question = LimitQuestion(Row("docs", concurrency_limit=1), 1, 1, 0.0)
+    assert limits.enter(question) is None
+    assert limits.enter(question) is ErrorKind.CONCURRENCY_LIMITED
+    limits.leave("docs")
+    assert limits.enter(question) is None
+    limits.leave("docs")
+    with pytest.raises(InvariantViolationError):
+        limits.leave("docs")
+
+
+def test_concurrency_refusal_takes_no_token():
+    limits = FleetLimits()
+    row = Row("docs", concurrency_limit=1, rate_limit=20.0)
+    question = LimitQuestion(row, 1, 1, 0.0)
+    assert limits.enter(question) is None
+    assert limits.enter(question) is ErrorKind.CONCURRENCY_LIMITED
+    limits.leave("docs")
+    assert limits.enter(question) is None
--- /dev/null
+++ b/tests/test_placement.py
@@ -0,0 +1,303 @@
+"""Guards against requests to wrong, failed, full or far targets."""
+
+from __future__ import annotations
+
+import random
+from collections import Counter
+from dataclasses import replace
+
+import pytest
+from hypothesis import given
+from hypothesis import settings as hypothesis_settings
+from hypothesis import strategies as st
+
+from jaypost.errors import ErrorKind
+from jaypost.health import Observation, TargetHealth
+from jaypost.placement import (
+    AttemptEnded,
+    AttemptStarted,
+    ChooseTarget,
+    Chosen,
+    NoTarget,
+    Placement,
+)
+from jaypost.records import Address, Destination, Load, PlacedTarget, Spill, Target, TargetState
+
+REGION_BY_DOMAIN = {"a": "addis", "b": "addis", "d": "dire-dawa"}
+FULL = Load(12, 12, 0)
+IDLE = Load(1, 12, 0)
+
+
+def placed(target_id, domain="a", reachable=True, state=TargetState.READY):
+    target = Target(target_id, "docs", 8000, 12, state)
+    return PlacedTarget(
+        target, f"n-{target_id}", domain, REGION_BY_DOMAIN[domain], Address("::1", 1), reachable
+    )
+
+
+LOCAL = (placed("a1"), placed("a2"))
+NEAR = (placed("b1", "b"), placed("b2", "b"))
+FAR = (placed("d1", "d"), placed("d2", "d"))
+ALL = LOCAL + NEAR + FAR
+
+
+class Ingress:
+    """A placement with shorthand for questions and results."""
+
+    def __init__(self, seed=1):
+        self.health = TargetHealth()
+        self.placement = Placement("a", "addis", self.health, random.Random(seed))
+
+    def choose(self, targets=ALL, *, spill=Spill.ANY, tried=(), last=False, now=0.0, long=False):
+        question = ChooseTarget("docs", targets, spill, frozenset(tried), last, now, long)
+        return self.placement.choose(question)
+
+    def chosen_ids(self, targets=ALL, count=200, **options):
+        answers = [self.choose(targets, **options) for _ in range(count)]
+        return Counter(answer.target.target.target_id for answer in answers)
+
+    def end(self, item, kind=None, load=IDLE, now=0.0, latency_s=0.02, status=200, long=False):
+        self.placement.observe(AttemptStarted(item.target.target_id, now))
+        self.placement.observe(
+            AttemptEnded(item, kind, 0 if kind else status, latency_s, load, now, long)
+        )
+
+    def fill(self, items, now=0.0, queued=0, rounds=1):
+        for _ in range(rounds):
+            for item in items:
+                self.end(item, ErrorKind.SLOTS_FULL, replace(FULL, queued=queued), now)
+
+    def eject(self, items, now=0.0):
+        for item in items:
+            for _ in range(3):
+                self.health.observe(Observation(item.target.target_id, "docs", None, 500, 0.0, now))
+
+
+@pytest.mark.parametrize(
+    ("weights", "known", "expected"),
+    [
+        ({"x": 3, "y": 1}, {"x", "y"}, {"x": 0.75, "y": 0.25}),
+        ({"x": 3, "y": 1}, {"y"}, {"y": 1.0}),
+        ({"x": 0, "y": 1}, {"x", "y"}, {"y": 1.0}),
+        ({"x": 0}, {"x"}, {None: 1.0}),
+        ({"x": 1}, set(), {None: 1.0}),
+    ],
+)
+def test_destination_follows_the_weights_of_known_services(weights, known, expected):
+    placement = Ingress().placement
+    destinations = tuple(Destination(name, weight) for name, weight in weights.items())
+    targets = {name: (placed(name),) for name in known}
+    picks = Counter(placement.destination(destinations, targets) for _ in range(2000))
+    assert set(picks) == set(expected)
+    for name, share in expected.items():
+        assert abs(picks[name] / 2000 - share) < 0.05
+
+
+@pytest.mark.parametrize(
+    ("targets", "spill", "expected"),
+    [
+        (ALL, Spill.ANY, {"a1", "a2"}),
+        (NEAR + FAR, Spill.ANY, {"b1", "b2"}),
+        (FAR, Spill.ANY, {"d1", "d2"}),
+        (NEAR + FAR, Spill.DOMAIN, None),
+        (FAR, Spill.REGION, None),
+        ((), Spill.ANY, None),
+        ((placed("a1", reachable=False), *NEAR), Spill.ANY, {"b1", "b2"}),
+        ((placed("a1", reachable=False), *NEAR), Spill.DOMAIN, {"a1"}),
+        ((placed("a1", state=TargetState.DRAINING), placed("a2")), Spill.ANY, {"a2"}),
+        ((placed("a1", state=TargetState.STARTING),), Spill.ANY, None),
+    ],
+)
+def test_closest_allowed_tier_with_reachable_targets_is_used(targets, spill, expected):
+    ingress = Ingress()
+    if expected is None:
+        assert ingress.choose(targets, spill=spill) == NoTarget(ErrorKind.NO_TARGET)
+    else:
+        assert set(ingress.chosen_ids(targets, spill=spill)) == expected
+
+
+def test_first_attempts_have_no_leave_to_queue_and_the_last_has():
+    ingress = Ingress()
+    assert not ingress.choose().may_queue
+    assert ingress.choose(last=True).may_queue
+
+
+def test_load_decides_between_two_random_targets():
+    ingress = Ingress()
+    ingress.choose(LOCAL)
+    ingress.end(LOCAL[0], load=Load(10, 12, 0))
+    ingress.end(LOCAL[1], load=Load(2, 12, 0))
+    assert set(ingress.chosen_ids(LOCAL)) == {"a2"}
+
+
+def test_own_requests_in_flight_count_as_load():
+    ingress = Ingress()
+    ingress.choose(LOCAL)
+    for _ in range(3):
+        ingress.placement.observe(AttemptStarted("a1", 0.0))
+    assert set(ingress.chosen_ids(LOCAL)) == {"a2"}
+
+
+@pytest.mark.parametrize(
+    ("prepare", "expected"),
+    [
+        (lambda ingress: ingress.fill(LOCAL), {"b1", "b2"}),
+        (lambda ingress: ingress.eject(LOCAL), {"b1", "b2"}),
+        (lambda ingress: ingress.fill(LOCAL[:1]), {"a2"}),
+    ],
+    ids=["full", "ejected", "one full"],
+)
+def test_spills_within_the_region_when_the_domain_cannot_serve(prepare, expected):
+    ingress = Ingress()
+    ingress.choose()
+    prepare(ingress)
+    assert set(ingress.chosen_ids()) == expected
+    assert set(ingress.chosen_ids(now=5.0)) <= {"a1", "a2"}
+
+
+def test_tried_targets_are_not_chosen_again_while_others_are_left():
+    assert set(Ingress().chosen_ids(tried=("a1", "a2"))) == {"b1", "b2"}
+
+
+def test_leaves_the_region_only_for_a_lasting_and_costly_wait():
+    ingress = Ingress()
+    ingress.choose()
+    ingress.end(LOCAL[0], latency_s=0.05)
+    near = LOCAL + NEAR
+    for queued, now, expected in [(0, 1.0, "near"), (60, 2.0, "near"), (60, 2.2, "far")]:
+        ingress.fill(near, now, queued)
+        answer = ingress.choose(now=now)
+        region = "far" if answer.target in FAR else "near"
+        assert (queued, now, region) == (queued, now, expected)
+
+
+def test_leaves_the_region_when_its_queues_refuse():
+    ingress = Ingress()
+    ingress.choose()
+    ingress.fill(LOCAL + NEAR, queued=60, rounds=3)
+    ingress.end(LOCAL[0], ErrorKind.QUEUE_FULL, Load(12, 12, 64))
+    answer = ingress.choose(tried=("a1",))
+    assert answer.target in FAR
+    assert not answer.may_queue
+
+
+def test_leaves_the_region_at_once_when_it_has_no_working_target():
+    ingress = Ingress()
+    for item in LOCAL + NEAR:
+        ingress.end(item, ErrorKind.CONNECT_FAILED, None)
+    assert set(ingress.chosen_ids()) == {"d1", "d2"}
+
+
+def test_goes_straight_to_a_queue_when_every_target_is_full():
+    ingress = Ingress()
+    ingress.choose(LOCAL)
+    ingress.fill(LOCAL, rounds=5)
+    answer = ingress.choose(LOCAL, now=0.1)
+    assert isinstance(answer, Chosen)
+    assert answer.may_queue
+    for _ in range(5):
+        ingress.end(LOCAL[0], now=0.2)
+    assert not ingress.choose(LOCAL, now=0.2).may_queue
+
+
+def test_last_attempt_queues_at_the_least_loaded():
+    ingress = Ingress()
+    ingress.choose(LOCAL)
+    ingress.end(LOCAL[0], ErrorKind.SLOTS_FULL, Load(12, 12, 30))
+    ingress.end(LOCAL[1], ErrorKind.SLOTS_FULL, Load(12, 12, 3))
+    answers = ingress.chosen_ids(LOCAL, last=True, tried=("a1", "a2"))
+    assert set(answers) == {"a2"}
+
+
+def test_slow_target_without_a_hint_is_no_better_than_a_full_one():
+    """The third attempt of a request must not queue at the one target it knows nothing about."""
+    targets = (*LOCAL, placed("a3"))
+    ingress = Ingress()
+    ingress.choose(targets)
+    ingress.end(LOCAL[0])
+    ingress.fill(LOCAL, now=3.0)
+    answers = ingress.chosen_ids(targets, last=True, tried=("a1", "a2"), now=3.0)
+    assert "a3" not in answers
+
+
+def test_stops_when_a_full_queue_is_as_long_as_the_others():
+    ingress = Ingress()
+    ingress.choose(LOCAL)
+    ingress.fill(LOCAL, queued=60, rounds=8)
+    ingress.end(LOCAL[0], ErrorKind.QUEUE_FULL, Load(12, 12, 64))
+    assert ingress.choose(LOCAL, tried=("a1",)) == NoTarget(ErrorKind.QUEUE_FULL)
+    assert isinstance(ingress.choose(LOCAL), Chosen)
+
+
+def test_full_for_long_work_is_not_full_for_short_work():
+    ingress = Ingress()
+    ingress.choose(LOCAL)
+    for _ in range(5):
+        ingress.end(LOCAL[0], ErrorKind.SLOTS_FULL, Load(9, 12, 0), long=True)
+    assert ingress.choose(LOCAL, tried=("a2",)) == Chosen(LOCAL[0], may_queue=False)
+    assert ingress.choose(LOCAL, tried=("a2",), long=True).may_queue
+
+
+def test_cold_target_gets_a_small_share():
+    ingress = Ingress()
+    ingress.choose(LOCAL)
+    grown = (*LOCAL, placed("a3"))
+    assert ingress.chosen_ids(grown, count=1000, now=10.0)["a3"] < 200
+    assert ingress.chosen_ids(grown, count=1000, now=25.0)["a3"] > 250
+
+
+def test_forgets_targets_that_are_gone():
+    ingress = Ingress()
+    for number in range(100):
+        item = placed(f"t{number}")
+        ingress.choose((item,))
+        ingress.end(item)
+    assert len(ingress.placement._load_by_id) == 1
+    ingress.placement.forget("docs")
+    assert not ingress.placement._load_by_id
+
+
+@hypothesis_settings(derandomize=True, deadline=None, max_examples=200)
+@given(
+    targets=st.lists(
+        st.tuples(st.sampled_from("abd"), st.booleans(), st.sampled_from(list(TargetState))),
+        max_size=7,
+    ),
+    spill=st.sampled_from(list(Spill)),
+    events=st.lists(
+        st.tuples(
+            st.integers(0, 6),
+            st.sampled_from([None, ErrorKind.SLOTS_FULL, ErrorKind.CONNECT_FAILED]),
+        ),
+        max_size=30,
+    ),
+    last=st.booleans(),
+    data=st.data(),
+)
+def test_choice_is_ready_allowed_and_reachable_if_any_is(targets, spill, events, last, data):
+    items = tuple(
+        placed(f"t{number}", domain, reachable, state)
+        for number, (domain, reachable, state) in enumerate(targets)
+    )
+    ingress = Ingress()
+    ingress.choose(items)
+    for number, kind in events:
+        if number < len(items):
+            ingress.end(items[number], kind, FULL if kind else IDLE)
+    tried = data.draw(st.sets(st.sampled_from([f"t{number}" for number in range(7)])))
+    answer = ingress.choose(items, spill=spill, tried=tried, last=last, now=0.01)
+    tiers = {Spill.DOMAIN: "a", Spill.REGION: "ab", Spill.ANY: "abd"}[spill]
+    allowed = [
+        item
+        for item in items
+        if item.failure_domain in tiers and item.target.state is TargetState.READY
+    ]
+    if not allowed:
+        assert answer == NoTarget(ErrorKind.NO_TARGET)
+    elif isinstance(answer, Chosen):
+        assert answer.target in allowed
+        assert answer.may_queue or not last
+        untried = [i for i in allowed if i.reachable and i.target.target_id not in tried]
+        assert answer.target.reachable or not untried
+    else:
+        assert answer.kind is ErrorKind.QUEUE_FULL
--- /dev/null
+++ b/tests/test_retries.py
@@ -0,0 +1,170 @@
+"""Guards against a second execution and against retries that multiply the load."""
+
+from __future__ import annotations
+
+import random
+from dataclasses import replace
+
+import pytest
+from hypothesis import settings as hypothesis_settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, rule
+
+from jaypost.errors import ErrorKind
+from jaypost.records import Row
+from jaypost.retries import AttemptFailed, GiveUp, Retry, RetryPolicy
+
+ROW = Row("docs")
+FAILED = AttemptFailed(
+    ROW,
+    "GET",
+    1,
+    ErrorKind.OUTCOME_UNKNOWN,
+    0,
+    reached=True,
+    body_kept=True,
+    final=False,
+    inside_retry=False,
+    remaining_s=5.0,
+    now=0.0,
+)
+REFUSED = replace(FAILED, kind=ErrorKind.SLOTS_FULL, reached=False)
+
+
+def policy(requests=100, row=ROW):
+    built = RetryPolicy(random.Random(3))
+    for _ in range(requests):
+        built.request_started(row, 0.0)
+    return built
+
+
+@pytest.mark.parametrize(
+    ("failure", "changes", "retried"),
+    [
+        (FAILED, {}, True),
+        (FAILED, {"kind": None, "status": 500}, True),
+        (FAILED, {"method": "POST"}, False),
+        (FAILED, {"kind": None, "status": 500, "method": "POST"}, False),
+        (FAILED, {"inside_retry": True}, False),
+        (FAILED, {"final": True}, False),
+        (FAILED, {"body_kept": False}, False),
+        (FAILED, {"attempt": 3}, False),
+        (FAILED, {"remaining_s": 0.0}, False),
+        (FAILED, {"kind": ErrorKind.RATE_LIMITED, "reached": False}, False),
+        (FAILED, {"kind": ErrorKind.CANCELLED}, False),
+        (REFUSED, {}, True),
+        (REFUSED, {"method": "POST"}, True),
+        (REFUSED, {"inside_retry": True}, True),
+        (REFUSED, {"kind": ErrorKind.CONNECT_FAILED, "method": "POST"}, True),
+        (REFUSED, {"kind": ErrorKind.CONNECT_FAILED, "method": "POST", "reached": True}, False),
+        (REFUSED, {"attempt": 3}, False),
+        (REFUSED, {"body_kept": False}, False),
+        (REFUSED, {"final": True}, False),
+    ],
+)
+def test_what_may_be_repeated(failure, changes, retried):
+    decision = policy().decide(replace(failure, **changes))
+    assert isinstance(decision, Retry) is retried
+    if not retried:
+        assert decision.final
+
+
+def test_refusals_are_retried_without_delay_and_without_budget():
+    built = policy(requests=0)
+    decisions = [built.decide(REFUSED) for _ in range(50)]
+    assert decisions == [Retry(0.0)] * 50
+
+
+def test_failures_wait_a_random_short_time():
+    delays_s = [policy().decide(replace(FAILED, attempt=2)).delay_s for _ in range(3)]
+    assert all(0.0 < delay_s <= 0.1 for delay_s in delays_s)
+
+
+@pytest.mark.parametrize(
+    ("row", "method", "inside_retry", "allowed"),
+    [
+        (replace(ROW, hedge_ms=20), "GET", False, True),
+        (replace(ROW, hedge_ms=20), "POST", False, False),
+        (replace(ROW, hedge_ms=20), "GET", True, False),
+        (replace(ROW, hedge_ms=20, retry_budget=0.0), "GET", False, False),
+        (ROW, "GET", False, False),
+    ],
+)
+def test_hedges_only_repeatable_requests_within_the_budget(row, method, inside_retry, allowed):
+    built = policy()
+    assert built.may_hedge(row, method, inside_retry, 0.0) is allowed
+    allowed_in_all = sum(built.may_hedge(row, method, inside_retry, 0.0) for _ in range(100))
+    assert allowed_in_all <= 10
+
+
+@pytest.mark.parametrize("headers_passed_on", [True, False])
+@pytest.mark.parametrize("depth", [1, 3, 8])
+def test_load_at_each_depth_when_every_target_fails(depth, headers_passed_on):
+    """Every depth may get at most 1.2 times the load, also if applications drop the headers."""
+    policies = [policy(requests=200) for _ in range(depth)]
+    calls = [0] * depth
+
+    def call(level, inside_retry):
+        if level == depth:
+            return False
+        policies[level].request_started(ROW, 0.0)
+        attempt = 0
+        while True:
+            attempt += 1
+            calls[level] += 1
+            marked = headers_passed_on and (inside_retry or attempt > 1)
+            final = call(level + 1, marked) and headers_passed_on
+            failure = replace(
+                FAILED,
+                kind=None,
+                status=500,
+                attempt=attempt,
+                final=final,
+                inside_retry=inside_retry,
+            )
+            decision = policies[level].decide(failure)
+            if isinstance(decision, GiveUp):
+                return decision.final
+
+    offered = 1000
+    for _ in range(offered):
+        call(0, False)
+    assert max(calls) <= 1.2 * offered
+
+
+class BudgetMachine(RuleBasedStateMachine):
+    """Charged retries and hedges never exceed the budget of the requests and the first tokens."""
+
+    def __init__(self):
+        super().__init__()
+        self.row = replace(ROW, hedge_ms=20)
+        self.policy = RetryPolicy(random.Random(1))
+        self.requests = 0
+        self.charged = 0
+
+    @rule(count=st.integers(1, 30))
+    def start(self, count):
+        for _ in range(count):
+            self.policy.request_started(self.row, 0.0)
+        self.requests += count
+
+    @rule(attempt=st.integers(1, 3), status=st.sampled_from([0, 500]))
+    def fail(self, attempt, status):
+        kind = None if status else ErrorKind.OUTCOME_UNKNOWN
+        failure = replace(FAILED, row=self.row, attempt=attempt, kind=kind, status=status)
+        self.charged += isinstance(self.policy.decide(failure), Retry)
+        self.within_budget()
+
+    @rule()
+    def hedge(self):
+        self.charged += self.policy.may_hedge(self.row, "GET", False, 0.0)
+        self.within_budget()
+
+    def within_budget(self):
+        assert self.charged <= 1 + self.row.retry_budget * self.requests + 1e-6
+
+
+BudgetMachine.TestCase.settings = hypothesis_settings(
+    derandomize=True, max_examples=60, stateful_step_count=40, deadline=None
+)
+TestBudgetMachine = BudgetMachine.TestCase
