Cover claim pauses, shared leases and saved-up rate tokens

Cause: three rules could be taken out without a failing test: the dispatch window of a claim, the lock around the shared lease and the bound on saved-up tokens.

Change: one test for each; the lease test now suspends inside store calls.

--- a/tests/test_claims.py
+++ b/tests/test_claims.py
@@ -140,7 +140,7 @@
 
 
 async def test_claims_made_together_grant_one_lease():
-    store = FakeStore()
+    store = FakeStore(pausing=True)
     claims = node(store)
     await asyncio.gather(*(claims.claim("pay", f"k{number}", "r", 0.0) for number in range(5)))
     assert store.calls.count("grant_lease") == 1
@@ -220,6 +220,16 @@
     assert isinstance(await node(store, 3).claim("pay", "k", "r2", 0.0), Duplicate)
 
 
+async def test_node_that_resumes_after_its_lease_does_not_dispatch():
+    store = FakeStore()
+    first = await node(store, 1).claim("pay", "k", "r1", 0.0)
+    assert first.may_dispatch(1.0)
+    store.now = 26 * 3600.0
+    second = await node(store, 2).claim("pay", "k", "r2", store.now)
+    assert second.may_dispatch(store.now)
+    assert not first.may_dispatch(store.now)
+
+
 @pytest.mark.parametrize(("rate", "claimed"), [(0.0, 0), (2.0, 2), (0.5, 1)])
 async def test_rate_of_claims_is_capped(rate, claimed):
     claims = node(FakeStore(), rate=rate)
--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -31,6 +31,7 @@
 def test_bucket_does_not_save_up_a_quiet_minute():
     limits = FleetLimits()
     row = Row("docs", rate_limit=10.0)
+    assert limits.enter(LimitQuestion(row, 1, 1, 0.0)) is None
     passed = [limits.enter(LimitQuestion(row, 1, 1, 60.0)) for _ in range(50)]
     assert passed.count(None) == 1
 
