Sample large tiers instead of scanning them

Cause: choosing among 100 targets took 86 us of the 500 us that a call may cost.

Change: the first attempt draws two working, free targets by weight from a tier of 16 or more; the scan remains for the other cases.

--- a/jaypost/placement.py
+++ b/jaypost/placement.py
@@ -16,6 +16,8 @@
 # The link between regions is billed by volume, so leaving the region must save more waiting time
 # than the round trip alone costs.
 LINK_PRICE_FACTOR = 2.0
+SAMPLED_TIER = 16
+SAMPLES = 8
 SPILL_DELAY_S = 0.1
 FULL_MEMORY_S = 0.02
 FAILED_MEMORY_S = 1.0
@@ -230,6 +232,10 @@
     def choose(self, question: ChooseTarget) -> Chosen | NoTarget:
         """Return the target of the next attempt."""
         state = self._state(question)
+        if not question.last_attempt and not question.tried:
+            target = self._sampled_target(state, question)
+            if target is not None:
+                return Chosen(target, may_queue=False)
         tiers = self._usable_tiers(state, question)
         if not any(tiers):
             return NoTarget(ErrorKind.NO_TARGET)
@@ -287,6 +293,32 @@
             return 0
         return 1 if placed.region == self._region else 2
 
+    def _sampled_target(self, state: _ServiceState, question: ChooseTarget) -> PlacedTarget | None:
+        """Return the better of two random targets of a large closest tier, without a scan of it.
+
+        A scan of 100 targets took 86 us, a sixth of the time that jaypost may add to a call.
+        """
+        tier = next((tier for tier in state.tiers[:REMOTE_TIER] if tier), ())
+        if len(tier) < SAMPLED_TIER or state.near.is_saturated(question.now):
+            return None
+        if question.spill is Spill.DOMAIN and tier is not state.tiers[0]:
+            return None
+        first: PlacedTarget | None = None
+        for _ in range(SAMPLES):
+            item = tier[int(self._rng.random() * len(tier))]
+            if item is first or not item.reachable or not self._is_free(item, question):
+                continue
+            if not self._is_working(item, question.now):
+                continue
+            if self._rng.random() >= self._health.weight(item.target.target_id, question.now):
+                continue
+            if first is None:
+                first = item
+                continue
+            state.near_full_since = float("inf")
+            return self._less_loaded(state, first, item, question.now)
+        return None
+
     def _usable_tiers(
         self, state: _ServiceState, question: ChooseTarget
     ) -> tuple[tuple[PlacedTarget, ...], ...]:
@@ -425,9 +457,13 @@
         if not any(weights):
             return free[first]
         second = self._rng.choices(range(len(free)), weights)[0]
-        pair = free[first], free[second]
-        scores = [self._utilisation(state, item, now) for item in pair]
-        return pair[0] if scores[0] <= scores[1] else pair[1]
+        return self._less_loaded(state, free[first], free[second], now)
+
+    def _less_loaded(
+        self, state: _ServiceState, first: PlacedTarget, second: PlacedTarget, now: float
+    ) -> PlacedTarget:
+        first_load = self._utilisation(state, first, now)
+        return first if first_load <= self._utilisation(state, second, now) else second
 
     def _utilisation(self, state: _ServiceState, placed: PlacedTarget, now: float) -> float:
         """Return the estimated load of a target as a fraction of its slots.
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -130,6 +130,24 @@
     assert set(ingress.chosen_ids(LOCAL)) == {"a2"}
 
 
+def test_large_tier_is_sampled_by_weight_and_load():
+    """The shortcut for many targets must apply the same rules as the scan."""
+    many = tuple(placed(f"t{number}", reachable=number != 3) for number in range(20))
+    ingress = Ingress()
+    ingress.choose(many)
+    ingress.end(many[0], ErrorKind.SLOTS_FULL, FULL)
+    ingress.eject(many[1:2])
+    ingress.end(many[2], ErrorKind.CONNECT_FAILED, None)
+    for _ in range(12):
+        ingress.placement.observe(AttemptStarted("t4", 0.0))
+    picks = ingress.chosen_ids(many, count=4000)
+    assert set(picks) >= {f"t{number}" for number in range(5, 20)}
+    assert not set(picks) & {"t0", "t1", "t2", "t3"}
+    assert picks["t4"] < 20
+    grown = (*many, placed("new"))
+    assert 0 < ingress.chosen_ids(grown, count=4000, now=9.0)["new"] < 60
+
+
 def test_own_requests_in_flight_count_as_load():
     ingress = Ingress()
     ingress.choose(LOCAL)
