--- a/jaypost/table.py
+++ b/jaypost/table.py
@@ -150,6 +150,16 @@
     return Table(delta.version, rows_by_service, delta.digest)
 
 
+def apply_deltas(table: Table, deltas: Iterable[Delta]) -> Table | DeltaRefused:
+    """Apply `deltas` in order, or return why one of them does not follow."""
+    for delta in deltas:
+        applied = apply_delta(table, delta)
+        if isinstance(applied, DeltaRefused):
+            return applied
+        table = applied
+    return table
+
+
 def digest(rows_by_service: Mapping[str, Row]) -> str:
     """Return the digest of the rows, independent of their order in the mapping."""
     hasher = hashlib.blake2b(digest_size=DIGEST_BYTES)
