Add the command-line tool jaypost and explanations of routes

Cause: operators change behaviour only through the table, and must see what every node does, also while the store is down. TableWriter gets read_version for `table diff`.

--- a/jaypost/admin.py
+++ b/jaypost/admin.py
@@ -57,15 +57,12 @@
     Parameters
     ----------
     nodes : sequence
-        Status of each node that answered.
-    silent : sequence of str
-        Nodes that the view holds to be reachable and that did not answer.
+        Status of each known node, also of those that did not answer.
     unreachable : sequence of str
         Nodes that the view holds to be unreachable.
     """
 
     nodes: Sequence[Any]
-    silent: Sequence[str] = ()
     unreachable: Sequence[str] = ()
 
 
--- /dev/null
+++ b/jaypost/explanations.py
@@ -0,0 +1,173 @@
+"""Why requests for a service go where they go, as one node sees it."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from jaypost.records import Destination, Load, PlacedTarget, Row, Snapshot, Spill, TargetState
+
+REACH_BY_SPILL = {Spill.DOMAIN: 0, Spill.REGION: 1, Spill.ANY: 2}
+
+
+@dataclass(frozen=True, slots=True)
+class NodePlace:
+    """Identity and place of the node that explains."""
+
+    node_id: str
+    failure_domain: str
+    region: str
+
+
+@dataclass(frozen=True, slots=True)
+class TargetExplanation:
+    """What the node knows about one target, and why it is not used.
+
+    Parameters
+    ----------
+    tier : Spill
+        Nearest setting of `spill` that includes the target.
+    weight : float
+        Share of traffic by health: 0 is ejected, 1 is healthy and warm.
+    load : str
+        Busy slots, slots and queued requests, as last reported; empty when unknown.
+    obstacle : str
+        Why requests do not go to this target; empty when they may.
+    """
+
+    target_id: str
+    service: str
+    node_id: str
+    failure_domain: str
+    state: TargetState
+    reachable: bool
+    tier: Spill
+    weight: float
+    load: str
+    obstacle: str
+
+
+@dataclass(frozen=True, slots=True)
+class Explanation:
+    """How a node routes requests for a service.
+
+    Parameters
+    ----------
+    node_id : str
+        Node that explains.
+    version : int
+        Table version in force on the node.
+    row : Row
+        Row of the service in that version.
+    destinations : tuple of Destination
+        Destinations with at least one known target.
+    pending : tuple of str
+        Destinations of the row without a known target, which get no requests.
+    targets : tuple of TargetExplanation
+        Known targets of the destinations.
+    problems : tuple of str
+        What keeps requests from being answered or from using a destination.
+    """
+
+    node_id: str
+    version: int
+    row: Row
+    destinations: tuple[Destination, ...]
+    pending: tuple[str, ...]
+    targets: tuple[TargetExplanation, ...]
+    problems: tuple[str, ...]
+
+
+def explain(
+    service: str,
+    snapshot: Snapshot,
+    place: NodePlace,
+    weight: Callable[[str], float],
+    load: Callable[[str], Load | None],
+) -> Explanation | None:
+    """Explain the routes of `service` in `snapshot`.
+
+    Parameters
+    ----------
+    weight : callable
+        Share of traffic of a target by its identifier.
+    load : callable
+        Load of a target by its identifier, None when it is unknown.
+
+    Returns
+    -------
+    Explanation or None
+        None when the version in force has no row for the service.
+    """
+    row = snapshot.rows_by_service.get(service)
+    if row is None:
+        return None
+    destinations = snapshot.destinations_by_service.get(service, ())
+    pending = snapshot.pending_by_service.get(service, ())
+    targets = tuple(
+        _explain_target(placed, row.spill, place, weight, load)
+        for destination in destinations
+        for placed in snapshot.targets_by_service.get(destination.service, ())
+    )
+    problems = _problems(destinations, pending, targets)
+    return Explanation(
+        place.node_id, snapshot.version, row, destinations, pending, targets, problems
+    )
+
+
+def _explain_target(
+    placed: PlacedTarget,
+    spill: Spill,
+    place: NodePlace,
+    weight: Callable[[str], float],
+    load: Callable[[str], Load | None],
+) -> TargetExplanation:
+    target = placed.target
+    known_load = load(target.target_id)
+    share = weight(target.target_id)
+    tier = _tier(placed, place)
+    return TargetExplanation(
+        target.target_id,
+        target.service,
+        placed.node_id,
+        placed.failure_domain,
+        target.state,
+        placed.reachable,
+        tier,
+        share,
+        "" if known_load is None else str(known_load),
+        _obstacle(placed, tier, spill, share),
+    )
+
+
+def _tier(placed: PlacedTarget, place: NodePlace) -> Spill:
+    if placed.failure_domain == place.failure_domain:
+        return Spill.DOMAIN
+    return Spill.REGION if placed.region == place.region else Spill.ANY
+
+
+def _obstacle(placed: PlacedTarget, tier: Spill, spill: Spill, share: float) -> str:
+    if placed.target.state is not TargetState.READY:
+        return f"the target is {placed.target.state}"
+    if REACH_BY_SPILL[tier] > REACH_BY_SPILL[spill]:
+        return f"spill={spill} of the row does not include it"
+    if share <= 0:
+        return "ejected by passive health"
+    if not placed.reachable:
+        return "its node is unreachable; used only when no reachable target is left"
+    return ""
+
+
+def _problems(
+    destinations: tuple[Destination, ...],
+    pending: tuple[str, ...],
+    targets: tuple[TargetExplanation, ...],
+) -> tuple[str, ...]:
+    problems = [f"destination {name} has no known target" for name in pending]
+    for destination in destinations:
+        own = [target for target in targets if target.service == destination.service]
+        if destination.weight and all(target.obstacle for target in own):
+            problems.append(f"destination {destination.service} has no target free of obstacles")
+    if not destinations:
+        problems.append("no destination has a target: requests get no_target")
+    return tuple(problems)
--- /dev/null
+++ b/jaypost/formats.py
@@ -0,0 +1,247 @@
+"""Text forms of rows: cells of ``column=value`` arguments, CSV files and JSON files."""
+
+from __future__ import annotations
+
+import csv
+import io
+import json
+from collections.abc import Mapping, Sequence
+from dataclasses import dataclass, fields
+from enum import StrEnum
+from typing import Any
+
+import msgspec
+
+from jaypost.records import Row, RowChange, RowProblem, Table
+from jaypost.table import parse_row, row_columns
+
+COLUMNS = tuple(item.name for item in fields(Row) if item.name != "service")
+LIST_COLUMNS = frozenset({"repeatable_methods", "long_prefixes"})
+PAIR_FIELDS_BY_COLUMN: Mapping[str, tuple[str, str]] = {
+    "destinations": ("service", "weight"),
+    "tenant_shares": ("tenant", "share"),
+}
+FLOAT_COLUMNS = frozenset({"rate_limit", "retry_budget", "short_reserve"})
+TEXT_COLUMNS = frozenset({"spill"})
+
+
+class FileFormat(StrEnum):
+    """Format of an exported or imported file."""
+
+    CSV = "csv"
+    JSON = "json"
+
+
+@dataclass(frozen=True, slots=True)
+class RowColumns:
+    """Columns that a file or an argument gives for one row, in the types of JSON."""
+
+    service: str
+    columns: Mapping[str, object]
+
+
+@dataclass(frozen=True, slots=True)
+class BadInput:
+    """Why a text is not a set of rows."""
+
+    problems: tuple[RowProblem, ...]
+
+
+def parse_cell(service: str, column: str, text: str) -> object | RowProblem:
+    """Convert the text of one cell to the type that JSON has for its column."""
+    if column not in COLUMNS:
+        return RowProblem(service, column, "is not a column")
+    try:
+        return _cell_value(column, text.strip())
+    except (ValueError, msgspec.DecodeError) as error:
+        return RowProblem(service, column, f"{text[:80]!r} cannot be read: {error}")
+
+
+def _cell_value(column: str, text: str) -> object:
+    if column in TEXT_COLUMNS:
+        return text
+    if column in LIST_COLUMNS or column in PAIR_FIELDS_BY_COLUMN:
+        return _list_value(column, text)
+    return float(text) if column in FLOAT_COLUMNS else int(text)
+
+
+def _list_value(column: str, text: str) -> object:
+    if text.startswith("["):
+        return msgspec.json.decode(text)
+    parts = [part.strip() for part in text.split(",") if part.strip()]
+    if column in LIST_COLUMNS:
+        return parts
+    name, number = PAIR_FIELDS_BY_COLUMN[column]
+    pairs = []
+    for part in parts:
+        key, separator, value = part.partition("=")
+        if not separator:
+            raise ValueError(f"{part!r} must be {name}={number}")
+        pairs.append({name: key.strip(), number: int(value)})
+    return pairs
+
+
+def format_cell(column: str, value: object) -> str:
+    """Return the text that `parse_cell` converts back to `value`, in the types of JSON."""
+    if column in LIST_COLUMNS:
+        return _joined([str(part) for part in _sequence(value)], value)
+    if column in PAIR_FIELDS_BY_COLUMN:
+        name, number = PAIR_FIELDS_BY_COLUMN[column]
+        pairs = [f"{pair[name]}={pair[number]}" for pair in _sequence(value)]
+        return _joined(pairs, value)
+    return str(value)
+
+
+def _sequence(value: object) -> Sequence[Any]:
+    assert isinstance(value, list | tuple)
+    return value
+
+
+def _joined(parts: Sequence[str], value: object) -> str:
+    """Join `parts` by commas, or use JSON when the parts could not be told apart again."""
+    plain = all(part and part == part.strip() and "," not in part for part in parts)
+    text = ",".join(parts)
+    return text if plain and not text.startswith("[") else msgspec.json.encode(value).decode()
+
+
+def row_cells(row: Row) -> dict[str, str]:
+    """Return the text of each column of a row."""
+    return {column: format_cell(column, value) for column, value in row_columns(row).items()}
+
+
+def parse_assignments(service: str, assignments: Sequence[str]) -> RowColumns | BadInput:
+    """Parse ``column=value`` arguments."""
+    cells: dict[str, str] = {}
+    problems: list[RowProblem] = []
+    for text in assignments:
+        column, separator, value = text.partition("=")
+        if not separator:
+            problems.append(RowProblem(service, column, "must be column=value"))
+        elif column in cells:
+            problems.append(RowProblem(service, column, "is given twice"))
+        cells[column] = value
+    return BadInput(tuple(problems)) if problems else _parse_cells(service, cells)
+
+
+def _parse_cells(service: str, cells: Mapping[str, str]) -> RowColumns | BadInput:
+    values = {column: parse_cell(service, column, text) for column, text in cells.items()}
+    problems = tuple(value for value in values.values() if isinstance(value, RowProblem))
+    return BadInput(problems) if problems else RowColumns(service, values)
+
+
+def write_rows(rows: Sequence[Row], file_format: FileFormat) -> str:
+    """Return the text of a file with `rows`."""
+    if file_format is FileFormat.JSON:
+        columns_by_service = {row.service: row_columns(row) for row in rows}
+        return msgspec.json.format(msgspec.json.encode(columns_by_service)).decode() + "\n"
+    text = io.StringIO()
+    writer = csv.DictWriter(text, ("service", *COLUMNS), lineterminator="\n")
+    writer.writeheader()
+    for row in rows:
+        writer.writerow({"service": row.service, **row_cells(row)})
+    return text.getvalue()
+
+
+def read_rows(text: str, file_format: FileFormat) -> tuple[RowColumns, ...] | BadInput:
+    """Parse the text of a file; columns that it leaves out are not in the result."""
+    if file_format is FileFormat.JSON:
+        return _read_json(text)
+    return _read_csv(text)
+
+
+def _read_json(text: str) -> tuple[RowColumns, ...] | BadInput:
+    try:
+        names = _top_level_names(text)
+        rows = msgspec.json.decode(text, type=dict[str, dict[str, Any]])
+    except (msgspec.DecodeError, ValueError) as error:
+        return BadInput((RowProblem("", "", f"the JSON cannot be read: {error}"),))
+    twice = sorted({name for name in names if names.count(name) > 1})
+    if twice:
+        return BadInput(tuple(RowProblem(name, "", "is given twice") for name in twice))
+    return tuple(RowColumns(service, columns) for service, columns in rows.items())
+
+
+def _top_level_names(text: str) -> list[str]:
+    names: list[str] = []
+
+    def keep_outermost(pairs: list[tuple[str, object]]) -> None:
+        names[:] = [name for name, _ in pairs]
+
+    json.loads(text, object_pairs_hook=keep_outermost)
+    return names
+
+
+def _read_csv(text: str) -> tuple[RowColumns, ...] | BadInput:
+    reader = csv.DictReader(io.StringIO(text.removeprefix("\ufeff")), strict=True)
+    rows: dict[str, RowColumns] = {}
+    problems: list[RowProblem] = []
+    try:
+        header = reader.fieldnames or ()
+        problems.extend(_header_problems(header))
+        for cells in [] if problems else reader:
+            parsed = _read_csv_row(cells, reader.line_num)
+            if isinstance(parsed, BadInput):
+                problems.extend(parsed.problems)
+            elif parsed.service in rows:
+                problems.append(RowProblem(parsed.service, "", "is given twice"))
+            else:
+                rows[parsed.service] = parsed
+    except csv.Error as error:
+        problems.append(RowProblem("", "", f"line {reader.line_num}: {error}"))
+    return BadInput(tuple(problems)) if problems else tuple(rows.values())
+
+
+def _header_problems(header: Sequence[str]) -> list[RowProblem]:
+    problems = [
+        RowProblem("", column, "is not a column")
+        for column in header
+        if column not in ("service", *COLUMNS)
+    ]
+    if "service" not in header:
+        problems.append(RowProblem("", "service", "is missing in the first line"))
+    if len(set(header)) < len(header):
+        problems.append(RowProblem("", "", "the first line names a column twice"))
+    return problems
+
+
+def _read_csv_row(cells: Mapping[str | None, Any], line: int) -> RowColumns | BadInput:
+    service = str(cells["service"] or "")
+    if None in cells or None in cells.values():
+        reason = f"line {line} does not have one cell for each column of the first line"
+        return BadInput((RowProblem(service, "", reason),))
+    return _parse_cells(service, {str(c): text for c, text in cells.items() if c != "service"})
+
+
+def changes_to(
+    base: Table, rows: Sequence[RowColumns], deletable: Sequence[str], keep: bool
+) -> tuple[RowChange, ...] | BadInput:
+    """Return the changes from `base` to `rows`.
+
+    Parameters
+    ----------
+    base : Table
+        Table that the changes start from.
+    rows : sequence of RowColumns
+        Rows as given by the operator.
+    deletable : sequence of str
+        Services whose rows are deleted when `rows` does not name them.
+    keep : bool
+        Whether columns left out keep their value; otherwise they take the default.
+    """
+    changes: list[RowChange] = []
+    problems: list[RowProblem] = []
+    for given in rows:
+        row = _build_row(base, given, keep)
+        if isinstance(row, RowProblem):
+            problems.append(row)
+        elif row != base.rows_by_service.get(given.service):
+            changes.append(RowChange(given.service, row))
+    named = {given.service for given in rows}
+    changes.extend(RowChange(service, None) for service in deletable if service not in named)
+    return BadInput(tuple(problems)) if problems else tuple(changes)
+
+
+def _build_row(base: Table, given: RowColumns, keep: bool) -> Row | RowProblem:
+    current = base.rows_by_service.get(given.service)
+    kept = row_columns(current) if keep and current is not None else {}
+    return parse_row(given.service, {**kept, **given.columns})
--- a/jaypost/logs.py
+++ b/jaypost/logs.py
@@ -33,6 +33,11 @@
     NODE_DRAINING = "node_draining"
     NODE_STOPPED = "node_stopped"
     JOIN_FAILED = "join_failed"
+    JOINED = "joined"
+    MEMBERSHIP_FOUNDED = "membership_founded"
+    SEED_MALFORMED = "seed_malformed"
+    OWN_STAMP_RAISED = "own_stamp_raised"
+    GOSSIP_TASK_FAILED = "gossip_task_failed"
     READER_STARTED = "reader_started"
     READER_STOPPED = "reader_stopped"
     STORE_UNAVAILABLE = "store_unavailable"
@@ -52,6 +57,12 @@
     TARGET_EJECTED = "target_ejected"
     TARGET_RECOVERED = "target_recovered"
     CONNECTIONS_CLOSED = "connections_closed"
+    SILENT_PEER = "silent_peer"
+    CONNECT_FAILED = "connect_failed"
+    CROSSED_RESPONSE = "crossed_response"
+    UNSOLICITED_RESPONSE = "unsolicited_response"
+    BAD_RESPONSE = "bad_response"
+    INPUT_REFUSED = "input_refused"
     SPILL_STARTED = "spill_started"
     SPILL_ENDED = "spill_ended"
     ANNOUNCEMENT_REFUSED = "announcement_refused"
@@ -158,7 +169,7 @@
             structlog.processors.add_log_level,
             structlog.processors.TimeStamper(fmt="iso", utc=True, key="time"),
             structlog.processors.format_exc_info,
-            _printable,
+            _printable_values,
             structlog.processors.LogfmtRenderer(
                 key_order=["time", "level", "event"], drop_missing=True, bool_as_flag=False
             ),
@@ -181,7 +192,7 @@
         log.warning(EventName.LINES_LEFT_OUT, name=name, left_out=count)
 
 
-def _printable(
+def _printable_values(
     logger: Any, method: str, event: MutableMapping[str, Any]
 ) -> MutableMapping[str, Any]:
     """Replace control characters, so that no value can start a line of its own."""
@@ -191,8 +202,12 @@
 def _without_control_characters(value: object) -> object:
     if value is None or isinstance(value, bool | int | float):
         return value
-    text = str(value)
+    # The renderer escapes line feeds; it leaves other control characters as they are.
+    return printable(str(value), kept="\n")
+
+
+def printable(text: str, kept: str = "") -> str:
+    """Replace control characters other than those in `kept` by their code, as in ``<1b>``."""
     if text.isprintable():
         return text
-    # The renderer escapes line feeds; it leaves other control characters as they are.
-    return "".join(c if c.isprintable() or c == "\n" else f"<{ord(c):02x}>" for c in text)
+    return "".join(c if c.isprintable() or c in kept else f"<{ord(c):02x}>" for c in text)
--- a/jaypost/metrics.py
+++ b/jaypost/metrics.py
@@ -4,7 +4,7 @@
 
 import asyncio
 import re
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass
 from enum import StrEnum
 
@@ -43,15 +43,6 @@
 LAG_BUCKETS_S = (0.05, 0.1, 0.25, 0.5, 1.0, 2.0, 3.0, 5.0, 10.0, 30.0, 60.0, 300.0)
 
 
-class Link(StrEnum):
-    """Kind of link that control bytes cross."""
-
-    DOMAIN = "domain"
-    REGION = "region"
-    CROSS_REGION = "cross_region"
-    STORE = "store"
-
-
 class StoreOutcome(StrEnum):
     """Result of a call of the store."""
 
@@ -121,6 +112,8 @@
         self._registry = Registry()
         self._values_by_label: dict[str, LabelValues] = {}
         self._label_limit = label_limit
+        self._sources: list[Callable[[Metrics], None]] = []
+        self._bytes_by_key: dict[tuple[str, str, str], int] = {}
         self._calls = self._counter("calls_total", "Calls answered as ingress, by error kind")
         self._total = self._histogram(
             "call_seconds", "Time from the caller's request to the end of the answer"
@@ -142,7 +135,7 @@
         self._held = self._gauge("version_held", "Newest table version held")
         self._refused = self._counter("versions_refused_total", "Table versions refused")
         self._stale = self._counter("versions_stale_total", "Offers not newer than in force")
-        self._bytes = self._counter("control_bytes_total", "Control bytes sent, by kind and link")
+        self._bytes = self._counter("control_bytes_total", "Control bytes, by kind and link")
         self._store_calls = self._counter("store_calls_total", "Calls of the store")
         self._store_time = self._histogram("store_call_seconds", "Time of a call of the store")
         self._nodes = self._gauge("known_nodes", "Nodes in the view, by state")
@@ -203,9 +196,13 @@
         """Count an offer of a version that is not newer than the one in force."""
         self._stale.inc({})
 
-    def control_bytes(self, kind: str, link: Link, count: int) -> None:
-        """Count control bytes sent."""
-        self._bytes.add(self._labels(kind=kind, link=link), count)
+    def control_bytes(self, kind: str, link: str, direction: str, total: int) -> None:
+        """Set the control bytes counted since the start."""
+        key = (kind, link, direction)
+        added = total - self._bytes_by_key.get(key, 0)
+        if added > 0:
+            self._bytes_by_key[key] = total
+            self._bytes.add(self._labels(kind=kind, link=link, direction=direction), added)
 
     def store_call_ended(self, operation: str, outcome: StoreOutcome, seconds: float) -> None:
         """Count a call of the store and its time."""
@@ -221,8 +218,14 @@
         """Set whether the node is ready."""
         self._ready.set({}, int(ready))
 
+    def add_source(self, source: Callable[[Metrics], None]) -> None:
+        """Call `source` before each rendering, for values that others keep."""
+        self._sources.append(source)
+
     async def render(self) -> bytes:
         """Return the text format; other tasks run between two metrics."""
+        for source in self._sources:
+            source(self)
         for rule, count in invariants.violations_by_rule.items():
             self._violations.set(self._labels(rule=rule), count)
         formatter = TextFormatter()
--- /dev/null
+++ b/jaypost/queries.py
@@ -0,0 +1,484 @@
+"""Queries of `jaypost`: they read the table, a node or the fleet, and change nothing."""
+
+from __future__ import annotations
+
+import argparse
+import asyncio
+import time
+from collections.abc import Mapping, Sequence
+from datetime import UTC, datetime
+
+from rich.progress import BarColumn, MofNCompleteColumn, Progress, TextColumn, TimeElapsedColumn
+
+from jaypost.console import (
+    STANDARD_STREAM,
+    CommandFailedError,
+    Context,
+    ExitCode,
+    OutputFormat,
+    UsageError,
+    custom_cells,
+    format_of,
+    read_file,
+    refuse,
+    show_changes,
+    store_failed,
+    write_file,
+)
+from jaypost.explanations import Explanation
+from jaypost.fleet import (
+    EventsView,
+    FleetClient,
+    FleetView,
+    NodeView,
+    QueryFailed,
+    Spread,
+    spread_of,
+)
+from jaypost.formats import BadInput, changes_to, row_cells, write_rows
+from jaypost.records import Row, Table
+from jaypost.store import StoreFailed
+from jaypost.table import EMPTY_TABLE, change_rows, diff, row_columns, validate
+from jaypost.writers import ChangeFound, TableWriter, VersionGone
+
+MAX_NODES_NAMED = 10
+POLL_S = 1.0
+
+
+def _client(context: Context) -> FleetClient:
+    if not context.nodes:
+        raise UsageError("no node is set; use --node IP:PORT or JAYPOST_NODE")
+    return FleetClient(context.nodes)
+
+
+def _fail(context: Context, failure: QueryFailed) -> ExitCode:
+    context.print_error(failure.reason)
+    return ExitCode.FAILED
+
+
+def _time_text(at_ms: int) -> str:
+    try:
+        return datetime.fromtimestamp(at_ms / 1000, UTC).isoformat(" ", "milliseconds")
+    except (OverflowError, ValueError, OSError):
+        return str(at_ms)
+
+
+def _names(names: Sequence[str]) -> str:
+    shown = ", ".join(names[:MAX_NODES_NAMED])
+    more = len(names) - MAX_NODES_NAMED
+    return f"{shown} and {more} more" if more > 0 else shown
+
+
+async def status(context: Context, arguments: argparse.Namespace) -> ExitCode:
+    """Show the fleet, or only the node that is asked."""
+    client = _client(context)
+    if arguments.this:
+        node = await client.node()
+        if isinstance(node, QueryFailed):
+            return _fail(context, node)
+        return _show_nodes(context, node, (node,))
+    fleet = await client.fleet()
+    if isinstance(fleet, QueryFailed):
+        return _fail(context, fleet)
+    if context.output is OutputFormat.JSON or arguments.all:
+        return _show_nodes(context, fleet, fleet.nodes)
+    _show_fleet(context, fleet)
+    return ExitCode.DONE
+
+
+def _show_nodes(context: Context, value: object, nodes: Sequence[NodeView]) -> ExitCode:
+    if context.output is OutputFormat.JSON:
+        context.print_json(value)
+        return ExitCode.DONE
+    header = ("node", "domain", "region", "state", "held", "in force", "problems")
+    lines = [
+        (
+            node.node_id,
+            node.failure_domain,
+            node.region,
+            node.state,
+            node.held_version if node.answered else "no answer",
+            node.in_force_version if node.answered else "",
+            "; ".join(node.problems),
+        )
+        for node in sorted(nodes, key=lambda node: (node.region, node.failure_domain, node.node_id))
+    ]
+    context.print_table(header, lines)
+    return ExitCode.DONE
+
+
+def _show_fleet(context: Context, fleet: FleetView) -> None:
+    newest = fleet.newest_version
+    domains = sorted({(node.region, node.failure_domain) for node in fleet.nodes})
+    lines = []
+    for region, domain in domains:
+        nodes = [node for node in fleet.nodes if node.failure_domain == domain]
+        spread = spread_of(FleetView(tuple(nodes), fleet.unreachable), newest)
+        refused = sum(bool(node.problems) for node in nodes)
+        lines.append(
+            (
+                region,
+                domain,
+                len(nodes),
+                spread.in_force,
+                len(spread.behind),
+                refused,
+                len(spread.silent),
+                _oldest(nodes),
+            )
+        )
+    header = ("region", "domain", "nodes", "newest in force", "behind", "refused", "silent")
+    context.print_table((*header, "oldest in force"), lines)
+    _show_exceptions(context, fleet, spread_of(fleet, newest))
+
+
+def _oldest(nodes: Sequence[NodeView]) -> int | str:
+    return min((node.in_force_version for node in nodes if node.answered), default="")
+
+
+def _show_exceptions(context: Context, fleet: FleetView, spread: Spread) -> None:
+    context.print_line(f"newest version held: {spread.version}")
+    for label, names in (
+        ("behind", spread.behind),
+        ("refused", spread.refused),
+        ("silent", spread.silent),
+        ("unreachable", fleet.unreachable),
+    ):
+        if names:
+            context.print_line(f"{label}: {len(names)}: {_names(names)}")
+    for node in fleet.nodes:
+        if node.problems:
+            context.print_line(f"reasons given by {node.node_id}:")
+            for problem in node.problems[:MAX_NODES_NAMED]:
+                context.print_line(f"  {problem}")
+            return
+
+
+async def explain(context: Context, arguments: argparse.Namespace) -> ExitCode:
+    """Show how a node routes requests for a service."""
+    explanation = await _client(context).explain(arguments.service)
+    if isinstance(explanation, QueryFailed):
+        return _fail(context, explanation)
+    if context.output is OutputFormat.JSON:
+        context.print_json(explanation)
+    else:
+        _show_explanation(context, explanation)
+    return ExitCode.DONE
+
+
+def _show_explanation(context: Context, explanation: Explanation) -> None:
+    row = explanation.row
+    context.print_line(
+        f"service {row.service}, version {explanation.version}, seen by {explanation.node_id}"
+    )
+    context.print_line(
+        f"timeout_ms={row.timeout_ms} retry_limit={row.retry_limit} hedge_ms={row.hedge_ms} "
+        f"rate_limit={row.rate_limit:g} concurrency_limit={row.concurrency_limit} "
+        f"queue_limit={row.queue_limit} spill={row.spill}"
+    )
+    total = sum(destination.weight for destination in explanation.destinations)
+    for destination in explanation.destinations:
+        share = destination.weight / total if total else 0.0
+        context.print_line(f"destination {destination.service}: {share:.1%} of the requests")
+    header = ("target", "service", "node", "domain", "tier", "state", "weight", "load", "obstacle")
+    lines = [
+        (
+            target.target_id,
+            target.service,
+            target.node_id,
+            target.failure_domain,
+            target.tier,
+            target.state,
+            f"{target.weight:.2f}",
+            target.load or "unknown",
+            target.obstacle,
+        )
+        for target in explanation.targets
+    ]
+    context.print_table(header, lines)
+    for problem in explanation.problems:
+        context.print_line(f"problem: {problem}")
+
+
+async def events(context: Context, arguments: argparse.Namespace) -> ExitCode:
+    """Show what a node did by itself."""
+    found = await _client(context).events(arguments.limit, arguments.name)
+    if isinstance(found, QueryFailed):
+        return _fail(context, found)
+    if context.output is OutputFormat.JSON:
+        context.print_json(found)
+    else:
+        _show_events(context, found)
+    return ExitCode.DONE
+
+
+def _show_events(context: Context, found: EventsView) -> None:
+    lines = [
+        (_time_text(event.at_ms), event.name, _details_text(event.details))
+        for event in found.events
+    ]
+    context.print_table(("time (UTC)", "event", "details"), lines)
+    if found.dropped:
+        context.print_line(f"{found.dropped} older events are no longer kept")
+
+
+def _details_text(details: Mapping[str, object]) -> str:
+    return " ".join(f"{key}={value}" for key, value in details.items())
+
+
+async def watch(context: Context, arguments: argparse.Namespace) -> ExitCode:
+    """Follow a version until every node uses it, or until the timeout."""
+    client = _client(context)
+    deadline = time.monotonic() + arguments.timeout
+    version = arguments.version or 0
+    with _progress(context) as progress:
+        task = progress.add_task("waiting for an answer", total=None)
+        while True:
+            fleet = await client.fleet()
+            spread = None
+            if isinstance(fleet, QueryFailed):
+                progress.update(task, description=fleet.reason)
+            else:
+                version = version or fleet.newest_version
+                spread = spread_of(fleet, version)
+                _show_progress(context, progress, task, spread)
+            if spread is not None and (spread.complete or spread.refused):
+                break
+            if time.monotonic() + POLL_S > deadline:
+                break
+            await asyncio.sleep(POLL_S)
+    if isinstance(fleet, QueryFailed):
+        return _fail(context, fleet)
+    return _watch_result(context, spread_of(fleet, version))
+
+
+def _progress(context: Context) -> Progress:
+    return Progress(
+        TextColumn("{task.description}", markup=False),
+        BarColumn(),
+        MofNCompleteColumn(),
+        TimeElapsedColumn(),
+        console=context.rich_console(),
+        disable=context.output is OutputFormat.JSON or not context.out.isatty(),
+    )
+
+
+def _show_progress(context: Context, progress: Progress, task: object, spread: Spread) -> None:
+    if context.output is OutputFormat.JSON:
+        context.print_json(spread)
+    elif progress.disable:
+        context.print_line(
+            f"version {spread.version}: in force on {spread.in_force} of {spread.total} nodes"
+        )
+    else:
+        progress.update(
+            progress.task_ids[0],
+            description=f"version {spread.version} in force",
+            completed=spread.in_force,
+            total=spread.total,
+        )
+
+
+def _watch_result(context: Context, spread: Spread) -> ExitCode:
+    if spread.complete:
+        if context.output is OutputFormat.TABLE:
+            context.print_line(f"version {spread.version} is in force on {spread.in_force} nodes")
+        return ExitCode.DONE
+    if spread.refused:
+        context.print_error(f"version {spread.version} is refused by {_names(spread.refused)}")
+        return ExitCode.REFUSED
+    late = spread.behind + spread.silent
+    context.print_error(f"version {spread.version} is not in force on {_names(late)}")
+    return ExitCode.FAILED
+
+
+async def table_get(context: Context, arguments: argparse.Namespace) -> ExitCode:
+    """Show rows of the newest version in the store."""
+    table = await _read_table(context)
+    if isinstance(table, StoreFailed):
+        return store_failed(context, table)
+    names = arguments.services or sorted(table.rows_by_service)
+    missing = [name for name in names if name not in table.rows_by_service]
+    if missing:
+        context.print_error(f"no row in version {table.version}: {_names(missing)}")
+        return ExitCode.FAILED
+    rows = [table.rows_by_service[name] for name in names]
+    if context.output is OutputFormat.JSON:
+        context.print_json(
+            {"version": table.version, "rows": {row.service: row_columns(row) for row in rows}}
+        )
+    elif arguments.services and len(rows) == 1:
+        _show_row(context, rows[0])
+    else:
+        _show_rows(context, table, rows)
+    return ExitCode.DONE
+
+
+async def _read_table(context: Context) -> Table | StoreFailed:
+    async with context.writer() as writer:
+        return await writer.read()
+
+
+def _show_row(context: Context, row: Row) -> None:
+    default = row_cells(Row(row.service))
+    lines = [
+        (column, cell, "" if cell == default[column] else f"default {default[column]}")
+        for column, cell in row_cells(row).items()
+    ]
+    context.print_table(("column", "value", ""), lines)
+
+
+def _show_rows(context: Context, table: Table, rows: Sequence[Row]) -> None:
+    lines = [
+        (row.service, " ".join(f"{key}={cell}" for key, cell in custom_cells(row).items()))
+        for row in rows
+    ]
+    context.print_table(("service", "columns that differ from the default"), lines)
+    context.print_line(f"version {table.version}, {len(table.rows_by_service)} rows")
+
+
+async def table_export(context: Context, arguments: argparse.Namespace) -> ExitCode:
+    """Write rows to a file or to standard output."""
+    table = await _read_table(context)
+    if isinstance(table, StoreFailed):
+        return store_failed(context, table)
+    names = arguments.services or sorted(table.rows_by_service)
+    rows = [table.rows_by_service[name] for name in names if name in table.rows_by_service]
+    if len(rows) < len(names):
+        missing = [name for name in names if name not in table.rows_by_service]
+        context.print_error(f"no row in version {table.version}: {_names(missing)}")
+        return ExitCode.FAILED
+    text = write_rows(rows, format_of(arguments.file, arguments.format))
+    if arguments.file == STANDARD_STREAM:
+        context.out.write(text)
+        return ExitCode.DONE
+    write_file(arguments.file, text)
+    context.print_line(f"wrote {len(rows)} rows of version {table.version}")
+    return ExitCode.DONE
+
+
+async def table_history(context: Context, arguments: argparse.Namespace) -> ExitCode:
+    """Show the newest changes of the table."""
+    async with context.writer() as writer:
+        deltas = await writer.history(arguments.limit)
+    if isinstance(deltas, StoreFailed):
+        return store_failed(context, deltas)
+    if context.output is OutputFormat.JSON:
+        context.print_json({"changes": deltas})
+        return ExitCode.DONE
+    header = ("version", "time (UTC)", "author", "rows", "change", "comment")
+    lines = [
+        (
+            delta.version,
+            _time_text(delta.at_ms),
+            delta.author,
+            _names([change.service for change in delta.rows]),
+            delta.change_id,
+            delta.comment,
+        )
+        for delta in deltas
+    ]
+    context.print_table(header, lines)
+    return ExitCode.DONE
+
+
+async def table_diff(context: Context, arguments: argparse.Namespace) -> ExitCode:
+    """Show the columns that differ between two versions; the second defaults to the newest."""
+    async with context.writer() as writer:
+        old = await writer.read_version(arguments.old)
+        new = await _read_version(writer, arguments.new)
+    if isinstance(old, StoreFailed):
+        return store_failed(context, old)
+    if isinstance(new, StoreFailed):
+        return store_failed(context, new)
+    if isinstance(old, VersionGone) or isinstance(new, VersionGone):
+        gone = old if isinstance(old, VersionGone) else new
+        raise CommandFailedError(f"version {gone.version} does not exist or is not kept")
+    if context.output is OutputFormat.JSON:
+        changes = [
+            {"service": c.service, "row": None if c.row is None else row_columns(c.row)}
+            for c in diff(old, new)
+        ]
+        context.print_json({"old": old.version, "new": new.version, "changes": changes})
+    else:
+        show_changes(context, old.rows_by_service, new.rows_by_service)
+    return ExitCode.DONE
+
+
+async def _read_version(
+    writer: TableWriter, version: int | None
+) -> Table | VersionGone | StoreFailed:
+    return await writer.read() if version is None else await writer.read_version(version)
+
+
+async def table_validate(context: Context, arguments: argparse.Namespace) -> ExitCode:
+    """Check the newest version, or what it would be after the import of a file."""
+    given = read_file(arguments.file, arguments.format) if arguments.file else ()
+    if isinstance(given, BadInput):
+        return refuse(context, given.problems)
+    base = EMPTY_TABLE if arguments.whole else await _read_table(context)
+    if isinstance(base, StoreFailed):
+        return store_failed(context, base)
+    changes = changes_to(base, given, deletable=(), keep=True)
+    if isinstance(changes, BadInput):
+        return refuse(context, changes.problems)
+    rows = change_rows(base.rows_by_service, changes)
+    problems = validate(rows)
+    if problems:
+        return refuse(context, problems)
+    if context.output is OutputFormat.JSON:
+        context.print_json({"valid": True, "rows": len(rows), "changed": len(changes)})
+    else:
+        context.print_line(f"valid: {len(rows)} rows, {len(changes)} of them changed")
+    return ExitCode.DONE
+
+
+async def table_status(context: Context, arguments: argparse.Namespace) -> ExitCode:
+    """Show the newest version in the store, or what became of a change."""
+    if arguments.change:
+        return await _change_status(context, arguments.change)
+    async with context.writer() as writer:
+        table = await writer.read()
+        deltas = await writer.history(1)
+    if isinstance(table, StoreFailed):
+        return store_failed(context, table)
+    if isinstance(deltas, StoreFailed):
+        return store_failed(context, deltas)
+    newest = deltas[0] if deltas else None
+    if context.output is OutputFormat.JSON:
+        context.print_json(
+            {
+                "version": table.version,
+                "digest": table.digest,
+                "rows": len(table.rows_by_service),
+                "newest_change": newest,
+            }
+        )
+        return ExitCode.DONE
+    context.print_line(
+        f"version {table.version}, {len(table.rows_by_service)} rows, digest {table.digest}"
+    )
+    if newest is not None:
+        context.print_line(
+            f"changed {_time_text(newest.at_ms)} by {newest.author}: {newest.comment}"
+        )
+    return ExitCode.DONE
+
+
+async def _change_status(context: Context, change_id: str) -> ExitCode:
+    async with context.writer() as writer:
+        outcome = await writer.status(change_id)
+    if isinstance(outcome, StoreFailed):
+        store_failed(context, outcome)
+        return ExitCode.UNDECIDED
+    if isinstance(outcome, ChangeFound):
+        version: int | None = outcome.delta.version
+        text = f"change {change_id} is version {version}"
+    else:
+        version = None
+        text = f"change {change_id} is not in version {outcome.version} or before"
+    if context.output is OutputFormat.JSON:
+        context.print_json({"change": change_id, "version": version})
+    else:
+        context.print_line(text)
+    return ExitCode.FAILED if version is None else ExitCode.DONE
--- a/jaypost/writers.py
+++ b/jaypost/writers.py
@@ -100,6 +100,13 @@
 StatusOutcome = ChangeFound | ChangeAbsent | StoreFailed
 
 
+@dataclass(frozen=True, slots=True)
+class VersionGone:
+    """The version does not exist or is no longer kept."""
+
+    version: int
+
+
 @dataclass(frozen=True, slots=True)
 class _HistoryGone:
     """The deltas since this version are no longer all kept."""
@@ -251,6 +258,16 @@
         assert not isinstance(deltas, _HistoryGone)
         return tuple(reversed(deltas))
 
+    async def read_version(self, version: int) -> Table | VersionGone | StoreFailed:
+        """Read an older version."""
+        stored = await layout.read_head(self._store)
+        if isinstance(stored, StoreFailed):
+            return stored
+        if not 1 <= version <= stored.head.version:
+            return VersionGone(version)
+        old = await self._read_version(stored.head, version)
+        return VersionGone(version) if isinstance(old, _HistoryGone) else old
+
     async def status(self, change_id: str) -> StatusOutcome:
         """Tell whether a change took effect."""
         stored = await layout.read_head(self._store)
--- /dev/null
+++ b/tests/test_formats.py
@@ -0,0 +1,111 @@
+"""Guards against rows that change when they are exported and imported, and against bad files."""
+
+from __future__ import annotations
+
+import json
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from jaypost import formats, table
+from jaypost.records import Destination, Row, Spill, TenantShare
+
+PREFIXES = st.text(st.characters(codec="utf-8", exclude_categories=["Cs"]), max_size=20)
+ROWS = st.builds(
+    Row,
+    service=st.just("orders"),
+    destinations=st.lists(
+        st.builds(
+            Destination, st.from_regex(r"[a-z0-9._-]{1,8}", fullmatch=True), st.integers(0, 9)
+        )
+    ).map(tuple),
+    rate_limit=st.floats(0, 1e7),
+    concurrency_limit=st.integers(0, 10**6),
+    repeatable_methods=st.lists(st.sampled_from(["GET", "HEAD", "PUT"]), unique=True).map(tuple),
+    long_prefixes=st.lists(PREFIXES.map(lambda text: "/" + text)).map(tuple),
+    short_reserve=st.floats(0, 1),
+    tenant_shares=st.lists(
+        st.builds(
+            TenantShare, st.from_regex(r"[A-Za-z0-9._-]{1,8}", fullmatch=True), st.integers(1, 9)
+        )
+    ).map(tuple),
+    spill=st.sampled_from(Spill),
+)
+
+
+@pytest.mark.parametrize("file_format", formats.FileFormat)
+@settings(max_examples=60, derandomize=True, deadline=None)
+@given(row=ROWS)
+def test_an_exported_row_is_imported_unchanged(file_format, row):
+    text = formats.write_rows([row], file_format)
+    (read,) = formats.read_rows(text, file_format)
+    assert read.columns == json.loads(json.dumps(table.row_columns(row)))
+
+
+@pytest.mark.parametrize(
+    ("assignment", "column", "value"),
+    [
+        ("rate_limit=10", "rate_limit", 10.0),
+        ("hedge_ms= 20 ", "hedge_ms", 20),
+        ("spill=region", "spill", "region"),
+        ("long_prefixes=/a,/b", "long_prefixes", ["/a", "/b"]),
+        ("long_prefixes=", "long_prefixes", []),
+        ('long_prefixes=["/a,b"]', "long_prefixes", ["/a,b"]),
+        (
+            "destinations=a=9,b=1",
+            "destinations",
+            [{"service": "a", "weight": 9}, {"service": "b", "weight": 1}],
+        ),
+        ("tenant_shares=t=2", "tenant_shares", [{"tenant": "t", "share": 2}]),
+    ],
+)
+def test_assignments_are_read(assignment, column, value):
+    assert formats.parse_assignments("s", [assignment]).columns == {column: value}
+
+
+@pytest.mark.parametrize(
+    ("assignments", "column"),
+    [
+        (["timeout=1"], "timeout"),
+        (["timeout_ms"], "timeout_ms"),
+        (["timeout_ms=1.5"], "timeout_ms"),
+        (["timeout_ms="], "timeout_ms"),
+        (["timeout_ms=1", "timeout_ms=2"], "timeout_ms"),
+        (["destinations=a"], "destinations"),
+        (["destinations=a=b"], "destinations"),
+        (["long_prefixes=[1"], "long_prefixes"),
+        (["service=x"], "service"),
+    ],
+)
+def test_bad_assignments_name_their_column(assignments, column):
+    bad = formats.parse_assignments("s", assignments)
+    assert isinstance(bad, formats.BadInput)
+    assert {problem.column for problem in bad.problems} == {column}
+
+
+@pytest.mark.parametrize(
+    ("file_format", "text"),
+    [
+        ("csv", ""),
+        ("csv", "timeout_ms\n1\n"),
+        ("csv", "service,timeout\na,1\n"),
+        ("csv", "service,timeout_ms,timeout_ms\na,1,2\n"),
+        ("csv", "service,timeout_ms\na\n"),
+        ("csv", "service,timeout_ms\na,1,2\n"),
+        ("csv", "service,timeout_ms\na,1\na,2\n"),
+        ("csv", 'service,timeout_ms\n"a,1\n'),
+        ("json", ""),
+        ("json", "[]"),
+        ("json", '{"a": 1}'),
+        ("json", '{"a": {}, "a": {}}'),
+        ("json", '{"a": {'),
+    ],
+)
+def test_bad_files_are_refused(file_format, text):
+    assert isinstance(formats.read_rows(text, formats.FileFormat(file_format)), formats.BadInput)
+
+
+def test_byte_order_mark_of_a_spreadsheet_is_ignored():
+    (read,) = formats.read_rows("\ufeffservice,timeout_ms\na,5\n", formats.FileFormat.CSV)
+    assert (read.service, read.columns) == ("a", {"timeout_ms": 5})
