Feed the event log from log lines and take call metrics from CallEnded

Cause: modules already log what they decide, and the path of a call reports one record for each call; operators should see both without further wiring. Change: logs.setup passes the events in DECISIONS to an observer, before level and rate limit.

--- a/jaypost/events.py
+++ b/jaypost/events.py
@@ -10,7 +10,7 @@
 
 import structlog
 
-from jaypost.logs import EventName
+from jaypost.logs import KEPT_MARK, EventName
 
 log = structlog.get_logger(__name__)
 
@@ -71,11 +71,16 @@
 
     def record(self, name: EventName, **details: object) -> Event:
         """Keep and log one event."""
+        event = self.keep(name, details)
+        log.info(name, **event.details, **{KEPT_MARK: True})
+        return event
+
+    def keep(self, name: EventName, details: Mapping[str, object]) -> Event:
+        """Keep one event that is logged elsewhere; `logs.setup` takes this as its observer."""
         kept = {key: _detail(value) for key, value in details.items()}
         event = Event(self._clock_ms(), name, MappingProxyType(kept))
         self._events.append(event)
         self._recorded += 1
-        log.info(name, **kept)
         return event
 
     def newest(self, limit: int, name: str | None = None) -> tuple[Event, ...]:
--- a/jaypost/logs.py
+++ b/jaypost/logs.py
@@ -42,10 +42,11 @@
     READER_STOPPED = "reader_stopped"
     STORE_UNAVAILABLE = "store_unavailable"
     STORE_AVAILABLE = "store_available"
-    VERSION_APPLIED = "version_applied"
+    VERSION_IN_FORCE = "version_in_force"
     VERSION_REFUSED = "version_refused"
-    VERSION_STALE = "version_stale"
-    SNAPSHOT_REBUILT = "snapshot_rebuilt"
+    CHANGE_ACCEPTED = "change_accepted"
+    CHANGE_UNDECIDED = "change_undecided"
+    PRUNE_FAILED = "prune_failed"
     NODE_ACCUSED = "node_accused"
     NODE_UNREACHABLE = "node_unreachable"
     NODE_REACHABLE = "node_reachable"
@@ -73,6 +74,39 @@
     LINES_LEFT_OUT = "log_lines_left_out"
 
 
+# Events that tell what a node did by itself, for `jaypost events`.
+DECISIONS = frozenset(
+    {
+        EventName.NODE_STARTED,
+        EventName.NODE_READY,
+        EventName.NODE_DRAINING,
+        EventName.JOIN_FAILED,
+        EventName.JOINED,
+        EventName.MEMBERSHIP_FOUNDED,
+        EventName.OWN_STAMP_RAISED,
+        EventName.READER_STARTED,
+        EventName.READER_STOPPED,
+        EventName.STORE_UNAVAILABLE,
+        EventName.STORE_AVAILABLE,
+        EventName.VERSION_IN_FORCE,
+        EventName.VERSION_REFUSED,
+        EventName.NODE_ACCUSED,
+        EventName.NODE_UNREACHABLE,
+        EventName.NODE_REACHABLE,
+        EventName.ACCUSATION_REFUTED,
+        EventName.TARGET_EJECTED,
+        EventName.TARGET_RECOVERED,
+        EventName.CONNECTIONS_CLOSED,
+        EventName.SILENT_PEER,
+        EventName.SPILL_STARTED,
+        EventName.SPILL_ENDED,
+        EventName.INVARIANT_VIOLATED,
+    }
+)
+# Marks a line whose event is already in the event log of the node.
+KEPT_MARK = "kept_mark"
+
+
 @dataclass(slots=True)
 class _Bucket:
     tokens: float
@@ -130,6 +164,37 @@
         return bucket
 
 
+class _Observation:
+    """Processor that passes decisions of the node to an observer."""
+
+    def __init__(self, observer: Callable[[EventName, Mapping[str, Any]], None] | None) -> None:
+        self._observer = observer
+
+    def __call__(
+        self, logger: Any, method: str, event: MutableMapping[str, Any]
+    ) -> MutableMapping[str, Any]:
+        kept = event.pop(KEPT_MARK, False)
+        name = event.get("event")
+        if self._observer is not None and not kept and name in DECISIONS:
+            values = {key: value for key, value in event.items() if key != "event"}
+            self._observer(EventName(str(name)), values)
+        return event
+
+
+class _LevelFilter:
+    """Processor that drops events below the level; it runs after the observation."""
+
+    def __init__(self, lowest: int) -> None:
+        self._lowest = lowest
+
+    def __call__(
+        self, logger: Any, method: str, event: MutableMapping[str, Any]
+    ) -> MutableMapping[str, Any]:
+        if LEVEL_BY_NAME.get(method, logging.ERROR) < self._lowest:
+            raise structlog.DropEvent
+        return event
+
+
 class LibraryHandler(logging.Handler):
     """Passes messages that libraries log by the standard module on as `library_message`."""
 
@@ -148,7 +213,12 @@
 _limiter = RateLimiter()
 
 
-def setup(level: str, stream: TextIO | None = None, limiter: RateLimiter | None = None) -> None:
+def setup(
+    level: str,
+    stream: TextIO | None = None,
+    limiter: RateLimiter | None = None,
+    observer: Callable[[EventName, Mapping[str, Any]], None] | None = None,
+) -> None:
     """Configure structlog and the standard logging module.
 
     Parameters
@@ -159,12 +229,17 @@
         Where lines are written, default stderr.
     limiter : RateLimiter, optional
         Rate limiter to use in place of a new one.
+    observer : callable, optional
+        Receives name and values of each event in `DECISIONS`, also of those that are not written
+        because of the level or the rate.
     """
     global _limiter
     _limiter = limiter or RateLimiter()
     lowest = LEVEL_BY_NAME[level]
     structlog.configure(
         processors=[
+            _Observation(observer),
+            _LevelFilter(lowest),
             _limiter,
             structlog.processors.add_log_level,
             structlog.processors.TimeStamper(fmt="iso", utc=True, key="time"),
@@ -174,7 +249,7 @@
                 key_order=["time", "level", "event"], drop_missing=True, bool_as_flag=False
             ),
         ],
-        wrapper_class=structlog.make_filtering_bound_logger(lowest),
+        wrapper_class=structlog.make_filtering_bound_logger(min(lowest, logging.INFO)),
         logger_factory=structlog.WriteLoggerFactory(stream or sys.stderr),
         cache_logger_on_first_use=False,
     )
--- a/jaypost/metrics.py
+++ b/jaypost/metrics.py
@@ -5,15 +5,15 @@
 import asyncio
 import re
 from collections.abc import Callable, Mapping
-from dataclasses import dataclass
 from enum import StrEnum
+from typing import Protocol
 
 from aioprometheus import Counter, Gauge, Histogram, Registry
 from aioprometheus.formats.text import TextFormatter
 
 from jaypost import invariants
 from jaypost.admission import CallClass
-from jaypost.errors import ErrorKind
+from jaypost.errors import ErrorKind, RunState
 
 CONTENT_TYPE = "text/plain; version=0.0.4; charset=utf-8"
 OTHER = "other"
@@ -52,25 +52,44 @@
     UNKNOWN = "unknown"
 
 
-@dataclass(frozen=True, slots=True)
-class CallEnded:
-    """A call that this node answered to its caller as ingress; `kind` is None on success."""
+class EndedCall(Protocol):
+    """What the metrics need of a call that ended, at the ingress or at the egress."""
 
-    service: str
-    tenant: str
-    call_class: CallClass
-    kind: ErrorKind | None
-    total_s: float
+    @property
+    def service(self) -> str:
+        """Service that the caller named (ingress) or that the target belongs to (egress)."""
 
+    @property
+    def tenant(self) -> str:
+        """Tenant of the request."""
 
-@dataclass(frozen=True, slots=True)
-class ExecutionEnded:
-    """An execution by a target of this host; the queueing time precedes the service time."""
+    @property
+    def call_class(self) -> CallClass:
+        """Class of the request."""
 
-    tenant: str
-    call_class: CallClass
-    queue_s: float
-    service_s: float
+    @property
+    def kind(self) -> ErrorKind | None:
+        """Error that ended the call; None when a whole response was delivered."""
+
+    @property
+    def run_state(self) -> RunState:
+        """What is known about the execution."""
+
+    @property
+    def attempts(self) -> int:
+        """Attempts dispatched."""
+
+    @property
+    def queue_s(self) -> float:
+        """Time before the last dispatch, in seconds."""
+
+    @property
+    def service_s(self) -> float:
+        """Time from the last dispatch to the end, in seconds."""
+
+    @property
+    def total_s(self) -> float:
+        """Time from the head of the request to the end, in seconds."""
 
 
 class LabelValues:
@@ -120,8 +139,13 @@
         )
         self._queue = self._histogram("queue_seconds", "Time that a request waited for a slot")
         self._service = self._histogram("service_seconds", "Time that a request held its slot")
-        self._retries = self._counter("retries_total", "Further attempts, by reason")
-        self._hedges = self._counter("hedges_total", "Hedged attempts, by whether they won")
+        self._executions = self._counter(
+            "executions_total", "Calls to the targets of the host, by error kind"
+        )
+        self._retries = self._counter(
+            "retries_total", "Attempts after the first, including hedged ones"
+        )
+        self._hedges = self._counter("hedges_total", "Hedged attempts")
         self._queued = self._gauge("queued_requests", "Requests that wait for a slot")
         self._busy = self._gauge("busy_slots", "Slots in use")
         self._slots = self._gauge("slots", "Slots of the targets of the host")
@@ -144,28 +168,26 @@
             "invariant_violations_total", "Violations of rules that must always hold"
         )
 
-    def call_ended(self, call: CallEnded) -> None:
-        """Count a call and its total time."""
-        kind = OK if call.kind is None else call.kind.value
-        self._calls.inc(self._labels(service=call.service, kind=kind))
-        self._total.observe(
-            self._labels(tenant=call.tenant, call_class=call.call_class), call.total_s
-        )
-
-    def execution_ended(self, execution: ExecutionEnded) -> None:
-        """Record the queueing and service time of one execution by a local target."""
-        labels = self._labels(tenant=execution.tenant, call_class=execution.call_class)
-        self._queue.observe(labels, execution.queue_s)
-        self._service.observe(labels, execution.service_s)
-
-    def retry_made(self, service: str, reason: ErrorKind | None) -> None:
-        """Count an attempt after the first; `reason` is None after a server error status."""
-        text = "server_error" if reason is None else reason.value
-        self._retries.inc(self._labels(service=service, reason=text))
-
-    def hedge_ended(self, service: str, won: bool) -> None:
+    def ingress_call_ended(self, call: EndedCall) -> None:
+        """Count a call that this node answered to its caller, its total time and its retries."""
+        self._calls.inc(self._labels(service=call.service, kind=_kind_label(call.kind)))
+        labels = self._labels(tenant=call.tenant, call_class=call.call_class)
+        self._total.observe(labels, call.total_s)
+        if call.attempts > 1:
+            self._retries.add(self._labels(service=call.service), call.attempts - 1)
+
+    def egress_call_ended(self, call: EndedCall) -> None:
+        """Count a call to a target of this host, and the times of those that were dispatched."""
+        self._executions.inc(self._labels(service=call.service, kind=_kind_label(call.kind)))
+        if call.run_state is RunState.NOT_RUN:
+            return
+        labels = self._labels(tenant=call.tenant, call_class=call.call_class)
+        self._queue.observe(labels, call.queue_s)
+        self._service.observe(labels, call.service_s)
+
+    def hedge_started(self, service: str) -> None:
         """Count a hedged attempt."""
-        self._hedges.inc(self._labels(service=service, result="won" if won else "lost"))
+        self._hedges.inc(self._labels(service=service))
 
     def load_changed(self, service: str, busy: int, slots: int, queued: int) -> None:
         """Set the load of the local targets of a service."""
@@ -254,3 +276,7 @@
         self, name: str, text: str, buckets: tuple[float, ...] = TIME_BUCKETS_S
     ) -> Histogram:
         return Histogram(f"jaypost_{name}", text, registry=self._registry, buckets=buckets)
+
+
+def _kind_label(kind: ErrorKind | None) -> str:
+    return OK if kind is None else kind.value
--- a/tests/test_events.py
+++ b/tests/test_events.py
@@ -3,9 +3,12 @@
 from __future__ import annotations
 
 import dataclasses
+import io
 
 import pytest
+import structlog
 
+from jaypost import logs
 from jaypost.events import MAX_DETAIL_CHARACTERS, EventLog
 from jaypost.logs import EventName
 
@@ -33,6 +36,24 @@
     assert len(events.newest(limit, name)) == count
 
 
+@pytest.mark.parametrize("level", ["info", "error"])
+def test_decisions_that_other_modules_log_are_kept_once(level):
+    events = EventLog(clock_ms=lambda: 5)
+    stream = io.StringIO()
+    logs.setup(level, stream, observer=events.keep)
+    log = structlog.get_logger()
+    log.info("node_accused", accused="n2")
+    log.info("target_announced", target_id="t1")
+    events.record(EventName.TARGET_EJECTED, target_id="t1")
+    structlog.reset_defaults()
+    assert [(event.name, dict(event.details)) for event in events.newest(9)] == [
+        ("node_accused", {"accused": "n2"}),
+        ("target_ejected", {"target_id": "t1"}),
+    ]
+    assert len(stream.getvalue().splitlines()) == (3 if level == "info" else 0)
+    assert logs.KEPT_MARK not in stream.getvalue()
+
+
 def test_events_cannot_change_and_details_are_bounded():
     event = EventLog(clock_ms=lambda: 5).record(EventName.VERSION_REFUSED, reason="x" * 10_000)
     assert len(event.details["reason"]) == MAX_DETAIL_CHARACTERS
--- a/tests/test_logs.py
+++ b/tests/test_logs.py
@@ -2,8 +2,10 @@
 
 from __future__ import annotations
 
+import ast
 import io
 import logging
+import pathlib
 
 import pytest
 import structlog
@@ -122,3 +124,22 @@
 def test_messages_of_libraries_have_the_same_format(output):
     logging.getLogger("asyncio").warning("slow %s", "callback")
     assert 'event=library_message logger=asyncio message="slow callback"' in output.getvalue()
+
+
+def logged_names():
+    for path in pathlib.Path(logs.__file__).parent.glob("*.py"):
+        for node in ast.walk(ast.parse(path.read_text())):
+            if not isinstance(node, ast.Call) or not isinstance(node.func, ast.Attribute):
+                continue
+            owner = ast.unparse(node.func.value)
+            if (
+                owner in ("log", "self._log")
+                and node.args
+                and isinstance(node.args[0], ast.Constant)
+            ):
+                yield node.args[0].value, f"{path.name}:{node.lineno}"
+
+
+def test_every_event_logged_by_its_text_is_in_the_list_of_names():
+    unknown = [place for place in logged_names() if place[0] not in set(logs.EventName)]
+    assert unknown == []
