Test a late write followed by refused attempts

A write of unknown effect at the present revision may still be applied, so the change must stay undecided. No test covered it: with that rule removed from the writer all tests passed. The new case of test_lost_answers failed with the rule removed; with compare-and-swap removed, 2 tests failed.

--- a/tests/test_writers.py
+++ b/tests/test_writers.py
@@ -167,6 +167,7 @@
         ([Fate.REFUSED] * 8, StoreFailed("refused", Effect.NONE), 1),
         ([Fate.DROPPED] * 8, Undecided("ours"), 1),
         ([Fate.APPLIED_LATE] * 8, Undecided("ours"), 1),
+        ([Fate.APPLIED_LATE] + [Fate.REFUSED] * 7, Undecided("ours"), 1),
         ([Fate.DROPPED] * 7 + [Fate.ANSWER_LOST], Undecided("ours"), 2),
     ],
 )
