Close all pooled connections to the store when a call times out

Connections can go silent for good while new ones work. With several silent connections in the pool each of the next calls timed out as well.

The new test failed with the rule removed: the second call after a silent path timed out again.

--- a/jaypost/store.py
+++ b/jaypost/store.py
@@ -379,6 +379,8 @@
             async with asyncio.timeout(self._timeout_s + call.wait_s):
                 return await self._exchange(call)
         except TimeoutError:
+            # Pooled connections of a silent path are all silent; new ones may work.
+            self._close_idle()
             return call.failed("timed out")
         except _CALL_ERRORS as error:
             return call.failed(f"{type(error).__name__}: {error}")
@@ -409,6 +411,11 @@
             connection.writer.close()
         return None
 
+    def _close_idle(self) -> None:
+        for connection in self._idle:
+            connection.writer.close()
+        self._idle.clear()
+
     def _give_back(self, connection: _Connection) -> None:
         if self._running and connection.reusable() and len(self._idle) < MAX_IDLE_CONNECTIONS:
             connection.protocol.start_next_cycle()
--- a/tests/test_store.py
+++ b/tests/test_store.py
@@ -162,6 +162,25 @@
     assert isinstance(written, StoreFailed) and written.effect is Effect.UNKNOWN
 
 
+async def test_silent_connections_are_left_for_new_ones():
+    answer = b"HTTP/1.1 200 OK\r\ncontent-length: 1\r\nx-revision: 1\r\n\r\nv"
+
+    async def answer_once(reader, writer):
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(answer)
+        await reader.read()
+        writer.close()
+
+    server = await asyncio.start_server(answer_once, "127.0.0.1", 0)
+    client = StoreClient(Address(*server.sockets[0].getsockname()), 0.3)
+    await client.start()
+    assert set(await asyncio.gather(*(client.get("k") for _ in range(3)))) == {Found(b"v", 1)}
+    assert isinstance(await client.get("k"), StoreFailed)
+    assert await client.get("k") == Found(b"v", 1)
+    await client.close()
+    server.close()
+
+
 async def test_stand_in_runs_as_a_process():
     process = await asyncio.create_subprocess_exec(
         *(sys.executable, "-m", "standins.store", "--listen", "127.0.0.1:0"),
