Show unreachable nodes by domain in status and list the reader's events

Cause: a domain with an unreachable node showed counts that did not add up, and the reader of branch table logs five events that were not listed. An interrupt before a change was sent ended without a message. Change: a column for unreachable nodes, the event names, a message.

--- a/jaypost/cli.py
+++ b/jaypost/cli.py
@@ -67,7 +67,10 @@
     except CommandFailedError as error:
         print(f"jaypost: {error}", file=err)
         return ExitCode.FAILED
-    except (KeyboardInterrupt, BrokenPipeError):
+    except KeyboardInterrupt:
+        print("jaypost: interrupted; no change was sent", file=err)
+        return ExitCode.FAILED
+    except BrokenPipeError:
         return ExitCode.FAILED
 
 
--- a/jaypost/logs.py
+++ b/jaypost/logs.py
@@ -40,10 +40,15 @@
     GOSSIP_TASK_FAILED = "gossip_task_failed"
     READER_STARTED = "reader_started"
     READER_STOPPED = "reader_stopped"
+    READER_FAILED = "reader_failed"
+    READ_FAILED = "read_failed"
+    STORE_BEHIND = "store_behind"
+    STORE_WENT_BACK = "store_went_back"
     STORE_UNAVAILABLE = "store_unavailable"
     STORE_AVAILABLE = "store_available"
     VERSION_IN_FORCE = "version_in_force"
     VERSION_REFUSED = "version_refused"
+    VERSION_NOT_REPLICATED = "version_not_replicated"
     CHANGE_ACCEPTED = "change_accepted"
     CHANGE_UNDECIDED = "change_undecided"
     PRUNE_FAILED = "prune_failed"
@@ -86,10 +91,14 @@
         EventName.OWN_STAMP_RAISED,
         EventName.READER_STARTED,
         EventName.READER_STOPPED,
+        EventName.READER_FAILED,
+        EventName.STORE_BEHIND,
+        EventName.STORE_WENT_BACK,
         EventName.STORE_UNAVAILABLE,
         EventName.STORE_AVAILABLE,
         EventName.VERSION_IN_FORCE,
         EventName.VERSION_REFUSED,
+        EventName.VERSION_NOT_REPLICATED,
         EventName.NODE_ACCUSED,
         EventName.NODE_UNREACHABLE,
         EventName.NODE_REACHABLE,
--- a/jaypost/queries.py
+++ b/jaypost/queries.py
@@ -124,11 +124,12 @@
                 len(spread.behind),
                 refused,
                 len(spread.silent),
+                sum(node.node_id in fleet.unreachable for node in nodes),
                 _oldest(nodes),
             )
         )
     header = ("region", "domain", "nodes", "newest in force", "behind", "refused", "silent")
-    context.print_table((*header, "oldest in force"), lines)
+    context.print_table((*header, "unreachable", "oldest in force"), lines)
     _show_exceptions(context, fleet, spread_of(fleet, newest))
 
 
--- a/tests/admin_fakes.py
+++ b/tests/admin_fakes.py
@@ -32,7 +32,7 @@
         return self.ready
 
     def status(self):
-        return Row("orders")
+        return {"node_id": "n1", "held_version": 9, "in_force_version": 8, "unknown": 1}
 
     async def fleet(self):
         self.collections += 1
--- a/tests/test_admin.py
+++ b/tests/test_admin.py
@@ -38,7 +38,7 @@
         ("GET", "/metrics", b"", 200, b"# TYPE jaypost_ready gauge"),
         ("GET", "/healthz", b"", 200, b'"ok"'),
         ("GET", "/readyz", b"", 503, b'"reason":"no version"'),
-        ("GET", "/status", b"", 200, b'"service":"orders"'),
+        ("GET", "/status", b"", 200, b'"node_id":"n1"'),
         ("GET", "/fleet", b"", 200, b'"unreachable":["n2"]'),
         ("GET", "/explain/orders", b"", 200, b'"spill":"any"'),
         ("GET", "/explain/none", b"", 404, b'"error":"unknown_service"'),
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -396,6 +396,7 @@
     [
         ([], ["d1", "behind: 1: n1", "reasons given by n0", "bad timeout"]),
         (["--all"], ["n0", "n1", "bad timeout"]),
+        (["--this"], ["n1", "9", "8"]),
         (["--output", "json"], ['"in_force_version":6']),
     ],
 )
