Add the pages for operators and the glossary

Cause: operators need one page for the table, for outages and for alarms, and readers need the standard terms behind the project's words. Tests compare the page with columns, ranges, defaults, event names and metrics.

--- a/tests/test_formats.py
+++ b/tests/test_formats.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+import pathlib
 
 import pytest
 from hypothesis import given, settings
@@ -109,3 +110,15 @@
 def test_byte_order_mark_of_a_spreadsheet_is_ignored():
     (read,) = formats.read_rows("\ufeffservice,timeout_ms\na,5\n", formats.FileFormat.CSV)
     assert (read.service, read.columns) == ("a", {"timeout_ms": 5})
+
+
+@pytest.mark.parametrize("column", formats.COLUMNS)
+def test_every_column_is_explained_with_its_range_and_default(column):
+    page = (pathlib.Path(__file__).parent.parent / "docs" / "operations.md").read_text()
+    (line,) = [line for line in page.splitlines() if line.startswith(f"| `{column}` |")]
+    cells = [cell.strip().replace(",", "") for cell in line.split("|")]
+    default = formats.row_cells(Row("orders"))[column].removesuffix(".0").replace(",", "")
+    assert default in cells[4].strip("`")
+    if column in table.RANGE_BY_COLUMN:
+        low, high = table.RANGE_BY_COLUMN[column]
+        assert cells[3] in (f"{low} to {high}", f"{low} to `timeout_ms`")
--- a/tests/test_logs.py
+++ b/tests/test_logs.py
@@ -143,3 +143,10 @@
 def test_every_event_logged_by_its_text_is_in_the_list_of_names():
     unknown = [place for place in logged_names() if place[0] not in set(logs.EventName)]
     assert unknown == []
+
+
+def test_every_event_name_is_explained_to_operators():
+    page = (pathlib.Path(logs.__file__).parent.parent / "docs" / "operations.md").read_text()
+    assert [name.value for name in logs.EventName if f"`{name}`" not in page] == []
+    marked = {name for name in logs.EventName if f"`{name}`*" in page}
+    assert {name for name in logs.DECISIONS if name not in marked} == set()
--- a/tests/test_metrics.py
+++ b/tests/test_metrics.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import dataclasses
+import pathlib
 import re
 
 import pytest
@@ -150,3 +151,9 @@
 async def test_invariant_violations_are_shown(monkeypatch):
     monkeypatch.setitem(invariants.violations_by_rule, "never_older", 3)
     assert 'jaypost_invariant_violations_total{rule="never_older"} 3' in await rendered(Metrics(8))
+
+
+async def test_every_metric_is_explained_to_operators():
+    page = (pathlib.Path(__file__).parent.parent / "docs" / "operations.md").read_text()
+    names = re.findall(r"# TYPE (\S+)", await rendered(Metrics(8)))
+    assert [name for name in names if f"`{name}`" not in page] == []
