Cut off admin clients that do not read; check announced service names

Cause: a client that reads no answer kept up to 32 MB of a reply buffered after its connection was given up, and a target could announce a service name that no row can have. Change: the connection is aborted when the rest of the reply is not taken within 1 s; announcements use the service pattern of the table. Result: the new test failed without the abort.

--- a/jaypost/admin.py
+++ b/jaypost/admin.py
@@ -35,6 +35,7 @@
 READ_BYTES = 65_536
 IDLE_TIMEOUT_S = 30.0
 REQUEST_TIMEOUT_S = 5.0
+CLOSE_TIMEOUT_S = 1.0
 FLEET_TIMEOUT_S = 10.0
 FLEET_MAX_AGE_S = 1.0
 DEFAULT_EVENT_LIMIT = 100
@@ -286,8 +287,18 @@
         try:
             await _Connection(reader, writer, self._settings.header_limit_bytes, self).serve()
         finally:
+            await _close_writer(writer)
             self._connections.discard(task)
-            writer.close()
+
+
+async def _close_writer(writer: asyncio.StreamWriter) -> None:
+    """Close a connection; what a peer that does not read leaves unsent is dropped."""
+    writer.close()
+    try:
+        async with asyncio.timeout(CLOSE_TIMEOUT_S):
+            await writer.wait_closed()
+    except (TimeoutError, ConnectionError):
+        writer.transport.abort()
 
 
 class _FleetCache:
--- a/jaypost/announcements.py
+++ b/jaypost/announcements.py
@@ -16,6 +16,7 @@
 from jaypost.logs import EventName
 from jaypost.records import Target, TargetState
 from jaypost.settings import Settings
+from jaypost.table import SERVICE_PATTERN
 
 log = structlog.get_logger(__name__)
 
@@ -282,8 +283,8 @@
     name_rule = f"must be 1 to {MAX_NAME_CHARACTERS} letters, digits, '-', '_' or '.'"
     if not _is_name(target_id):
         return f"target id {name_rule}"
-    if not _is_name(body.service):
-        return f"service {name_rule}"
+    if not SERVICE_PATTERN.fullmatch(body.service):
+        return "service must be 1 to 64 lower-case letters, digits, '-', '_' or '.'"
     if not 1 <= body.port <= 65_535:
         return "port must be between 1 and 65535"
     if not 1 <= body.slots <= MAX_SLOTS:
--- a/tests/test_admin.py
+++ b/tests/test_admin.py
@@ -142,3 +142,27 @@
     assert await host.ask_raw(b"") == b""
     for _, writer in open_ones:
         writer.close()
+
+
+async def until(condition):
+    for _ in range(2000):
+        if condition():
+            return
+        await asyncio.sleep(0.01)
+    raise AssertionError("the condition did not become true")
+
+
+async def test_a_client_that_does_not_read_is_cut_off(host, monkeypatch):
+    monkeypatch.setattr(admin, "REQUEST_TIMEOUT_S", 0.1)
+    monkeypatch.setattr(admin, "CLOSE_TIMEOUT_S", 0.1)
+    host.node.fleet_report = "x" * (32 << 20)
+    address = host.server.address
+    reader, writer = await asyncio.open_connection(address.host, address.port, limit=1024)
+    writer.write(b"GET /fleet HTTP/1.1\r\nhost: a\r\n\r\n")
+    await until(lambda: host.server._connections)
+    await until(lambda: not host.server._connections)
+    received = 0
+    while data := await reader.read(1 << 20):
+        received += len(data)
+    assert received < 32 << 20
+    writer.close()
--- a/tests/test_announcements.py
+++ b/tests/test_announcements.py
@@ -120,6 +120,7 @@
         ("a b", VALID),
         ("t", []),
         ("t", VALID | {"service": ""}),
+        ("t", VALID | {"service": "Orders"}),
         ("t", VALID | {"service": "a\nb"}),
         ("t", VALID | {"service": None}),
         ("t", VALID | {"port": 0}),
