--- a/jaypost/fleet.py
+++ b/jaypost/fleet.py
@@ -11,7 +11,7 @@
 from jaypost.admin_client import AdminClient, AdminUnreachable
 from jaypost.errors import ErrorKind
 from jaypost.explanations import Explanation
-from jaypost.records import Address, NodeState
+from jaypost.records import Address, NodeState, Target
 
 T = TypeVar("T")
 
@@ -43,6 +43,36 @@
     problems: tuple[str, ...] = ()
 
 
+@dataclass(frozen=True, slots=True)
+class LocalView:
+    """What a node tells about itself alone.
+
+    Parameters
+    ----------
+    not_ready_because : str
+        Why the node is not ready; empty when it is.
+    reader : bool
+        Whether it watches the store for its failure domain.
+    store_contact_age_s : float or None
+        Seconds since the store last answered; None when it has not been asked.
+    """
+
+    node_id: str
+    failure_domain: str = ""
+    region: str = ""
+    state: NodeState = NodeState.READY
+    ready: bool = False
+    not_ready_because: str = ""
+    held_version: int = 0
+    in_force_version: int = 0
+    problems: tuple[str, ...] = ()
+    reader: bool = False
+    known_nodes: int = 0
+    unreachable_nodes: tuple[str, ...] = ()
+    targets: tuple[Target, ...] = ()
+    store_contact_age_s: float | None = None
+
+
 @dataclass(frozen=True, slots=True)
 class FleetView:
     """Status of the fleet, as the node that was asked collected it."""
@@ -152,9 +182,9 @@
     def __init__(self, nodes: tuple[Address, ...]) -> None:
         self._nodes = nodes
 
-    async def node(self) -> NodeView | QueryFailed:
+    async def node(self) -> LocalView | QueryFailed:
         """Return the status of the node that is asked."""
-        return await self._get("/status", NodeView)
+        return await self._get("/status", LocalView)
 
     async def fleet(self) -> FleetView | QueryFailed:
         """Return the status of all nodes."""
--- a/jaypost/queries.py
+++ b/jaypost/queries.py
@@ -30,6 +30,7 @@
     EventsView,
     FleetClient,
     FleetView,
+    LocalView,
     NodeView,
     QueryFailed,
     Spread,
@@ -76,20 +77,43 @@
         node = await client.node()
         if isinstance(node, QueryFailed):
             return _fail(context, node)
-        return _show_nodes(context, node, (node,))
+        return _show_local(context, node)
     fleet = await client.fleet()
     if isinstance(fleet, QueryFailed):
         return _fail(context, fleet)
-    if context.output is OutputFormat.JSON or arguments.all:
-        return _show_nodes(context, fleet, fleet.nodes)
-    _show_fleet(context, fleet)
+    if context.output is OutputFormat.JSON:
+        context.print_json(fleet)
+    elif arguments.all:
+        _show_nodes(context, fleet.nodes)
+    else:
+        _show_fleet(context, fleet)
     return ExitCode.DONE
 
 
-def _show_nodes(context: Context, value: object, nodes: Sequence[NodeView]) -> ExitCode:
+def _show_local(context: Context, node: LocalView) -> ExitCode:
     if context.output is OutputFormat.JSON:
-        context.print_json(value)
+        context.print_json(node)
         return ExitCode.DONE
+    age = node.store_contact_age_s
+    lines = [
+        ("node", node.node_id),
+        ("place", f"{node.failure_domain} in {node.region}"),
+        ("state", node.state),
+        ("ready", "yes" if node.ready else f"no: {node.not_ready_because}"),
+        ("version in force", node.in_force_version),
+        ("version held", node.held_version),
+        ("refused because", "; ".join(node.problems)),
+        ("reader", "yes" if node.reader else "no"),
+        ("store answered", "not asked by this node" if age is None else f"{age:.1f} s ago"),
+        ("known nodes", node.known_nodes),
+        ("unreachable nodes", _names(node.unreachable_nodes)),
+        ("targets", ", ".join(f"{target.target_id} {target.state}" for target in node.targets)),
+    ]
+    context.print_table(("this node", ""), lines)
+    return ExitCode.DONE
+
+
+def _show_nodes(context: Context, nodes: Sequence[NodeView]) -> None:
     header = ("node", "domain", "region", "state", "held", "in force", "problems")
     lines = [
         (
@@ -104,7 +128,6 @@
         for node in sorted(nodes, key=lambda node: (node.region, node.failure_domain, node.node_id))
     ]
     context.print_table(header, lines)
-    return ExitCode.DONE
 
 
 def _show_fleet(context: Context, fleet: FleetView) -> None:
--- a/tests/admin_fakes.py
+++ b/tests/admin_fakes.py
@@ -32,7 +32,15 @@
         return self.ready
 
     def status(self):
-        return {"node_id": "n1", "held_version": 9, "in_force_version": 8, "unknown": 1}
+        return {
+            "node_id": "n1",
+            "ready": False,
+            "not_ready_because": "joining",
+            "in_force_version": 8,
+            "targets": [VALID | {"target_id": "t1"}],
+            "store_contact_age_s": 2.25,
+            "unknown": 1,
+        }
 
     async def fleet(self):
         self.collections += 1
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -396,7 +396,8 @@
     [
         ([], ["d1", "behind: 1: n1", "reasons given by n0", "bad timeout"]),
         (["--all"], ["n0", "n1", "bad timeout"]),
-        (["--this"], ["n1", "9", "8"]),
+        (["--this"], ["n1", "no: joining", "8", "t1 ready", "2.2 s ago"]),
+        (["--this", "--output", "json"], ['"store_contact_age_s":2.25']),
         (["--output", "json"], ['"in_force_version":6']),
     ],
 )
