--- a/jaypost/logs.py
+++ b/jaypost/logs.py
@@ -32,15 +32,27 @@
     NODE_READY = "node_ready"
     NODE_DRAINING = "node_draining"
     NODE_STOPPED = "node_stopped"
+    NODE_TASK_FAILED = "node_task_failed"
     JOIN_FAILED = "join_failed"
+    JOINED = "joined"
+    MEMBERSHIP_FOUNDED = "membership_founded"
+    SEED_MALFORMED = "seed_malformed"
+    OWN_STAMP_RAISED = "own_stamp_raised"
+    GOSSIP_TASK_FAILED = "gossip_task_failed"
     READER_STARTED = "reader_started"
     READER_STOPPED = "reader_stopped"
+    READER_FAILED = "reader_failed"
+    READ_FAILED = "read_failed"
+    STORE_BEHIND = "store_behind"
+    STORE_WENT_BACK = "store_went_back"
     STORE_UNAVAILABLE = "store_unavailable"
     STORE_AVAILABLE = "store_available"
-    VERSION_APPLIED = "version_applied"
+    VERSION_IN_FORCE = "version_in_force"
     VERSION_REFUSED = "version_refused"
-    VERSION_STALE = "version_stale"
-    SNAPSHOT_REBUILT = "snapshot_rebuilt"
+    VERSION_NOT_REPLICATED = "version_not_replicated"
+    CHANGE_ACCEPTED = "change_accepted"
+    CHANGE_UNDECIDED = "change_undecided"
+    PRUNE_FAILED = "prune_failed"
     NODE_ACCUSED = "node_accused"
     NODE_UNREACHABLE = "node_unreachable"
     NODE_REACHABLE = "node_reachable"
@@ -52,6 +64,13 @@
     TARGET_EJECTED = "target_ejected"
     TARGET_RECOVERED = "target_recovered"
     CONNECTIONS_CLOSED = "connections_closed"
+    SILENT_PEER = "silent_peer"
+    CONNECT_FAILED = "connect_failed"
+    CROSSED_RESPONSE = "crossed_response"
+    UNSOLICITED_RESPONSE = "unsolicited_response"
+    BAD_RESPONSE = "bad_response"
+    INPUT_REFUSED = "input_refused"
+    CALL_FAILED = "call_failed"
     SPILL_STARTED = "spill_started"
     SPILL_ENDED = "spill_ended"
     ANNOUNCEMENT_REFUSED = "announcement_refused"
@@ -62,6 +81,43 @@
     LINES_LEFT_OUT = "log_lines_left_out"
 
 
+# Events that tell what a node did by itself, for `jaypost events`.
+DECISIONS = frozenset(
+    {
+        EventName.NODE_STARTED,
+        EventName.NODE_READY,
+        EventName.NODE_DRAINING,
+        EventName.JOIN_FAILED,
+        EventName.JOINED,
+        EventName.MEMBERSHIP_FOUNDED,
+        EventName.OWN_STAMP_RAISED,
+        EventName.READER_STARTED,
+        EventName.READER_STOPPED,
+        EventName.READER_FAILED,
+        EventName.STORE_BEHIND,
+        EventName.STORE_WENT_BACK,
+        EventName.STORE_UNAVAILABLE,
+        EventName.STORE_AVAILABLE,
+        EventName.VERSION_IN_FORCE,
+        EventName.VERSION_REFUSED,
+        EventName.VERSION_NOT_REPLICATED,
+        EventName.NODE_ACCUSED,
+        EventName.NODE_UNREACHABLE,
+        EventName.NODE_REACHABLE,
+        EventName.ACCUSATION_REFUTED,
+        EventName.TARGET_EJECTED,
+        EventName.TARGET_RECOVERED,
+        EventName.CONNECTIONS_CLOSED,
+        EventName.SILENT_PEER,
+        EventName.SPILL_STARTED,
+        EventName.SPILL_ENDED,
+        EventName.INVARIANT_VIOLATED,
+    }
+)
+# Marks a line whose event is already in the event log of the node.
+KEPT_MARK = "kept_mark"
+
+
 @dataclass(slots=True)
 class _Bucket:
     tokens: float
@@ -119,6 +175,37 @@
         return bucket
 
 
+class _Observation:
+    """Processor that passes decisions of the node to an observer."""
+
+    def __init__(self, observer: Callable[[EventName, Mapping[str, Any]], None] | None) -> None:
+        self._observer = observer
+
+    def __call__(
+        self, logger: Any, method: str, event: MutableMapping[str, Any]
+    ) -> MutableMapping[str, Any]:
+        kept = event.pop(KEPT_MARK, False)
+        name = event.get("event")
+        if self._observer is not None and not kept and name in DECISIONS:
+            values = {key: value for key, value in event.items() if key != "event"}
+            self._observer(EventName(str(name)), values)
+        return event
+
+
+class _LevelFilter:
+    """Processor that drops events below the level; it runs after the observation."""
+
+    def __init__(self, lowest: int) -> None:
+        self._lowest = lowest
+
+    def __call__(
+        self, logger: Any, method: str, event: MutableMapping[str, Any]
+    ) -> MutableMapping[str, Any]:
+        if LEVEL_BY_NAME.get(method, logging.ERROR) < self._lowest:
+            raise structlog.DropEvent
+        return event
+
+
 class LibraryHandler(logging.Handler):
     """Passes messages that libraries log by the standard module on as `library_message`."""
 
@@ -137,7 +224,12 @@
 _limiter = RateLimiter()
 
 
-def setup(level: str, stream: TextIO | None = None, limiter: RateLimiter | None = None) -> None:
+def setup(
+    level: str,
+    stream: TextIO | None = None,
+    limiter: RateLimiter | None = None,
+    observer: Callable[[EventName, Mapping[str, Any]], None] | None = None,
+) -> None:
     """Configure structlog and the standard logging module.
 
     Parameters
@@ -148,22 +240,27 @@
         Where lines are written, default stderr.
     limiter : RateLimiter, optional
         Rate limiter to use in place of a new one.
+    observer : callable, optional
+        Receives name and values of each event in `DECISIONS`, also of those that are not written
+        because of the level or the rate.
     """
     global _limiter
     _limiter = limiter or RateLimiter()
     lowest = LEVEL_BY_NAME[level]
     structlog.configure(
         processors=[
+            _Observation(observer),
+            _LevelFilter(lowest),
             _limiter,
             structlog.processors.add_log_level,
             structlog.processors.TimeStamper(fmt="iso", utc=True, key="time"),
             structlog.processors.format_exc_info,
-            _printable,
+            _printable_values,
             structlog.processors.LogfmtRenderer(
                 key_order=["time", "level", "event"], drop_missing=True, bool_as_flag=False
             ),
         ],
-        wrapper_class=structlog.make_filtering_bound_logger(lowest),
+        wrapper_class=structlog.make_filtering_bound_logger(min(lowest, logging.INFO)),
         logger_factory=structlog.WriteLoggerFactory(stream or sys.stderr),
         cache_logger_on_first_use=False,
     )
@@ -181,7 +278,7 @@
         log.warning(EventName.LINES_LEFT_OUT, name=name, left_out=count)
 
 
-def _printable(
+def _printable_values(
     logger: Any, method: str, event: MutableMapping[str, Any]
 ) -> MutableMapping[str, Any]:
     """Replace control characters, so that no value can start a line of its own."""
@@ -191,8 +288,12 @@
 def _without_control_characters(value: object) -> object:
     if value is None or isinstance(value, bool | int | float):
         return value
-    text = str(value)
+    # The renderer escapes line feeds; it leaves other control characters as they are.
+    return printable(str(value), kept="\n")
+
+
+def printable(text: str, kept: str = "") -> str:
+    """Replace control characters other than those in `kept` by their code, as in ``<1b>``."""
     if text.isprintable():
         return text
-    # The renderer escapes line feeds; it leaves other control characters as they are.
-    return "".join(c if c.isprintable() or c == "\n" else f"<{ord(c):02x}>" for c in text)
+    return "".join(c if c.isprintable() or c in kept else f"<{ord(c):02x}>" for c in text)
