Test the view, control connections and gossip; fix two faults they found

A closed grpclib server kept answering on open connections, so a stopped node stayed reachable for its peers until the connections idled out; the server now closes them. The last beacon of a dead reader went round between the other nodes and never timed out, because a node that dropped it took the next copy as new; counters of stopped readers are now remembered.

--- a/jaypost/beacons.py
+++ b/jaypost/beacons.py
@@ -5,7 +5,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable, Mapping
+from collections.abc import Collection, Iterable, Mapping
 from dataclasses import dataclass, replace
 
 from jaypost.messages import Beacon, CutDomain
@@ -13,6 +13,9 @@
 
 # More nodes than the chosen readers may send beacons for a while; only these are passed on.
 BEACONS_KEPT = 4
+# Counters of readers that stopped are remembered for this many timeouts. Without them, copies that
+# other nodes still hold would look new again and again.
+REMEMBERED_TIMEOUTS = 20
 
 
 @dataclass(frozen=True, slots=True)
@@ -61,21 +64,41 @@
 
     def fresh(self, now: float) -> tuple[Beacon, ...]:
         """Return the beacons that are not timed out, in the order of their rank."""
+        fresh = []
         for node_id, heard in list(self._heard_by_id.items()):
-            if now - heard.at > self._timeout_s:
+            age_s = now - heard.at
+            if age_s <= self._timeout_s:
+                fresh.append(node_id)
+            elif age_s > REMEMBERED_TIMEOUTS * self._timeout_s:
                 del self._heard_by_id[node_id]
-        ranked = sorted(self._heard_by_id, key=lambda i: reader_rank(self._failure_domain, i))
+        ranked = sorted(fresh, key=lambda i: reader_rank(self._failure_domain, i))
         return tuple(_aged(self._heard_by_id[node_id], now) for node_id in ranked[:BEACONS_KEPT])
 
     def silence_s(self, now: float) -> float:
         """Return the time in seconds since any beacon was heard."""
         return now - self._last_heard
 
-    def cut_since_by_domain(self, now: float) -> Mapping[str, float]:
-        """Return the domains that every fresh beacon reports as cut, and since when."""
-        beacons = self.fresh(now)
+    def cut_since_by_domain(
+        self, readers: Collection[str], now: float
+    ) -> Mapping[str, float] | None:
+        """Return the domains that all readers report as cut, and since when.
+
+        Parameters
+        ----------
+        readers : collection of str
+            Nodes that read at present. Beacons of others count only when no reader has sent any.
+        now : float
+            Monotonic time in seconds.
+
+        Returns
+        -------
+        Mapping[str, float] or None
+            None when there is no fresh beacon.
+        """
+        fresh = self.fresh(now)
+        beacons = tuple(beacon for beacon in fresh if beacon.node_id in readers) or fresh
         if not beacons:
-            return {}
+            return None
         shared = frozenset.intersection(*(_names(beacon) for beacon in beacons))
         since_by_domain: dict[str, float] = {}
         for beacon in beacons:
--- a/jaypost/gossip.py
+++ b/jaypost/gossip.py
@@ -403,8 +403,10 @@
         self._apply_cut_domains(now)
 
     def _apply_cut_domains(self, now: float) -> None:
-        if self._board.fresh(now):
-            self._view.set_cut_domains(self._board.cut_since_by_domain(now))
+        readers = self._view.readers_of(self._view.own.failure_domain)
+        cut_since_by_domain = self._board.cut_since_by_domain(readers, now)
+        if cut_since_by_domain is not None:
+            self._view.set_cut_domains(cut_since_by_domain)
             self._notify_soon()
 
     def _notify_soon(self) -> None:
--- a/jaypost/peers.py
+++ b/jaypost/peers.py
@@ -7,11 +7,12 @@
 import time
 import zlib
 from collections import Counter
-from collections.abc import Awaitable, Callable, Mapping
+from collections.abc import Awaitable, Callable, Collection, Mapping
 from contextvars import ContextVar
 from dataclasses import dataclass, field
 from enum import StrEnum
 from typing import Any, TypeAlias, TypeVar
+from weakref import WeakSet
 
 import msgspec
 import structlog
@@ -230,6 +231,36 @@
 RequestHandler: TypeAlias = Callable[[Any], Awaitable[Any]]
 
 
+class _ClosingServer(Server):  # type: ignore[misc]
+    """grpclib server that also closes its connections.
+
+    `Server.close` only ends the listening socket and running requests: a closed node would still
+    answer on connections that are open.
+    """
+
+    def __init__(self, handlers: Collection[Any], codec: CodecBase) -> None:
+        super().__init__(handlers, codec=codec)
+        self._protocols: WeakSet[Any] = WeakSet()
+
+    def _protocol_factory(self) -> Any:
+        protocol = super()._protocol_factory()
+        self._protocols.add(protocol)
+        return protocol
+
+    @property
+    def port(self) -> int:
+        """Return the port that was bound."""
+        port: int = self._server.sockets[0].getsockname()[1]
+        return port
+
+    def close(self) -> None:
+        """Stop listening, cancel requests and close connections."""
+        super().close()
+        for protocol in list(self._protocols):
+            if hasattr(protocol, "processor"):  # absent until the connection is made
+                protocol.processor.close()
+
+
 class PeerServer:
     """grpclib server of the control port.
 
@@ -251,7 +282,7 @@
     ) -> None:
         self._handler = handler
         self._codec = ServerCodec(byte_counts, link_of)
-        self._server: Server | None = None
+        self._server: _ClosingServer | None = None
 
     def __mapping__(self) -> dict[str, Handler]:
         """Return the table of methods that grpclib dispatches by."""
@@ -276,11 +307,10 @@
 
     async def start(self, address: Address) -> Address:
         """Listen on an address and return it with the port that was bound."""
-        server = Server([self], codec=self._codec)
+        server = _ClosingServer([self], self._codec)
         await server.start(address.host, address.port, backlog=LISTEN_BACKLOG)
         self._server = server
-        port = server._server.sockets[0].getsockname()[1]
-        return Address(address.host, port)
+        return Address(address.host, server.port)
 
     async def close(self) -> None:
         """Stop listening and close all connections."""
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -186,6 +186,8 @@
 
     def _refuses(self, address: Address) -> bool:
         other = self.fleet.domain_by_address.get(address)
+        if self.fleet.isolated.intersection((self.address, address)):
+            return True
         return frozenset((self.view.own.failure_domain, other)) in self.fleet.cuts
 
     async def start(self) -> None:
@@ -199,22 +201,24 @@
 
 
 class Fleet:
-    """Nodes that share a store; pairs of failure domains can be cut."""
+    """Nodes that share a store; pairs of failure domains and single addresses can be cut."""
 
     def __init__(self) -> None:
         self.store = FakeStore()
         self.nodes: list[Node] = []
         self.domain_by_address: dict[Address, str] = {}
         self.cuts: set[frozenset[str | None]] = set()
+        self.isolated: set[Address] = set()
 
     async def add(
         self, node_id: str, failure_domain: str = "d1", region: str = "r1", **changes: Any
     ) -> Node:
         """Start a node that has not joined."""
         record = make_record(node_id, failure_domain, region, state=NodeState.JOINING)
+        targets = (Target(f"{node_id}-shop", "shop", 9000, 4, TargetState.READY),)
         changes.setdefault("number", len(self.nodes))
         stamp = changes.pop("stamp", record.stamp)
-        node = Node(self, replace(record, stamp=stamp), **changes)
+        node = Node(self, replace(record, stamp=stamp, targets=targets), **changes)
         await node.start()
         self.nodes.append(node)
         return node
--- a/tests/test_gossip.py
+++ b/tests/test_gossip.py
@@ -2,9 +2,23 @@
 
 from __future__ import annotations
 
+import asyncio
+import random
+from dataclasses import replace
+
 import pytest
 
-from tests.fleet import Fleet, eventually
+from jaypost.gossip import Founded, Joined
+from jaypost.joining import JoinServer
+from jaypost.messages import Push
+from jaypost.peers import Busy, Replied
+from jaypost.records import Accusation, NodeState, Stamp
+from jaypost.view import MembershipView
+from tests.fleet import Fleet, Node, eventually, make_record
+
+ONE_DOMAIN = (("d1", "r1"),)
+TWO_DOMAINS = (("d1", "r1"), ("d2", "r1"))
+TWO_REGIONS = (("d1", "r1"), ("d2", "r1"), ("d3", "r2"))
 
 
 @pytest.fixture
@@ -14,13 +28,198 @@
     await fleet.close()
 
 
-TWO_REGIONS = (("d1", "r1"), ("d2", "r1"), ("d3", "r2"))
+def converged(fleet: Fleet) -> bool:
+    hashes = {node.view.root_hash() for node in fleet.nodes}
+    versions = {node.holder.held_version for node in fleet.nodes}
+    return len(hashes) == len(versions) == 1
+
+
+def reachable(node: Node, others: list[Node]) -> list[bool]:
+    return [node.view.is_reachable(other.node_id) for other in others]
+
+
+def readers(fleet: Fleet) -> list[Node]:
+    return [node for node in fleet.nodes if node.gossip.is_reader()]
+
 
+def split(fleet: Fleet) -> tuple[list[Node], list[Node]]:
+    home = [node for node in fleet.nodes if node.view.own.failure_domain == "d1"]
+    return home, [node for node in fleet.nodes if node not in home]
 
-async def test_records_and_versions_reach_every_node(fleet: Fleet) -> None:
+
+@pytest.mark.parametrize("domains", [ONE_DOMAIN, TWO_REGIONS])
+async def test_records_and_versions_reach_every_node(fleet: Fleet, domains) -> None:
     """Guards against a node that misses records or versions although the network is whole."""
-    await fleet.grow(30, TWO_REGIONS)
-    await eventually(lambda: all(len(node.view) == 30 for node in fleet.nodes))
-    await eventually(lambda: len({node.view.root_hash() for node in fleet.nodes}) == 1)
+    await fleet.grow(24, domains)
+    await eventually(lambda: converged(fleet) and all(len(n.view) == 24 for n in fleet.nodes))
     fleet.nodes[7].holder._raise_to(1)
     await eventually(lambda: all(node.holder.held_version == 1 for node in fleet.nodes))
+    assert len(readers(fleet)) == 2 * len(domains)
+
+
+async def test_a_node_that_is_far_behind_gets_the_table(fleet: Fleet) -> None:
+    """Guards against a node that stays on an old version when its deltas are gone."""
+    await fleet.grow(5)
+    behind = fleet.nodes[3]
+    fleet.isolated.add(behind.address)
+    for version in range(1, 41):
+        fleet.nodes[0].holder._raise_to(version)
+    fleet.isolated.clear()
+    await eventually(lambda: behind.holder.held_version == 40)
+    assert behind.holder.tables_taken == 1
+
+
+async def test_cut_domains_serve_on_and_heal(fleet: Fleet) -> None:
+    """Guards against a cut that drops targets, and against one that never ends."""
+    await fleet.grow(12, TWO_DOMAINS)
+    await eventually(lambda: converged(fleet))
+    home, away = split(fleet)
+    changes: list[int] = []
+    home[-1].gossip.on_view_changed = lambda: changes.append(home[-1].view.changes)
+    fleet.cuts.add(frozenset(("d1", "d2")))
+    await eventually(lambda: not any(any(reachable(node, away)) for node in home))
+    await eventually(lambda: not any(any(reachable(node, home)) for node in away))
+    await eventually(lambda: bool(changes))
+    assert all(all(reachable(node, home)) for node in home)
+    assert {len(node.view.targets_by_service(0.0)["shop"]) for node in fleet.nodes} == {12}
+    home[0].holder._raise_to(1)
+    await eventually(lambda: all(node.holder.held_version == 1 for node in home))
+    assert {node.holder.held_version for node in away} == {0}
+    fleet.cuts.clear()
+    await eventually(lambda: converged(fleet))
+    await eventually(lambda: all(all(reachable(node, fleet.nodes)) for node in fleet.nodes))
+
+
+async def test_isolated_node_is_accused_and_refutes_when_it_is_back(fleet: Fleet) -> None:
+    """Guards against a paused node that stays unreachable, or that accuses everybody."""
+    await fleet.grow(8)
+    await eventually(lambda: converged(fleet))
+    victim, *others = reversed(fleet.nodes)
+    stamps = {node.node_id: node.view.own.stamp for node in others}
+    fleet.isolated.add(victim.address)
+    await eventually(lambda: not any(n.view.is_reachable(victim.node_id) for n in others))
+    await eventually(lambda: not any(reachable(victim, others)))
+    fleet.isolated.clear()
+    await eventually(lambda: all(n.view.is_reachable(victim.node_id) for n in others))
+    await eventually(lambda: all(reachable(victim, others)))
+    assert {node.node_id: node.view.own.stamp for node in others} == stamps
+
+
+async def test_dead_readers_are_replaced(fleet: Fleet) -> None:
+    """Guards against a domain that nobody connects to the store any more."""
+    await fleet.grow(8)
+    await eventually(lambda: converged(fleet) and len(readers(fleet)) == 2)
+    dead = readers(fleet)
+    await asyncio.gather(*(fleet.stop(node) for node in dead))
+    await eventually(lambda: len(readers(fleet)) == 2)
+    seeds = fleet.store.address_by_node
+    await eventually(lambda: all(("d1", node.node_id) in seeds for node in readers(fleet)))
+
+
+async def test_node_without_beacons_starts_to_read(fleet: Fleet) -> None:
+    """Guards against readers that others count as reachable while they do nothing."""
+    await fleet.grow(4)
+    await eventually(lambda: converged(fleet) and len(readers(fleet)) == 2)
+    idle = [node for node in fleet.nodes if not node.gossip.is_reader()]
+    for node in idle:
+        node.gossip._fallback_delay_s = 0.0
+    for node in readers(fleet):
+        node.gossip._take_beacons = lambda beacons: None
+    await eventually(lambda: any(node.gossip.is_reader() for node in idle))
+
+
+async def test_restart_while_the_store_is_away(fleet: Fleet) -> None:
+    """Guards against a restarted node that starts on an older version than it used before."""
+    await fleet.grow(6)
+    fleet.nodes[0].holder._raise_to(5)
+    await eventually(lambda: converged(fleet))
+    victim = fleet.nodes[5]
+    await fleet.stop(victim)
+    fleet.store.available = False
+    seeds = tuple(node.address for node in fleet.nodes[:2])
+    again = await fleet.add("n05", stamp=Stamp(0, 0), seeds=seeds)
+    outcome = await again.join()
+    assert isinstance(outcome, Joined)
+    assert outcome.asked >= 3 and outcome.highest_version == again.holder.held_version == 5
+    # The clock went backwards, so the first stamp was below the one the others know.
+    await eventually(lambda: converged(fleet))
+    assert again.view.own.stamp.newer_than(Stamp(1, 0))
+    assert all(n.view.get("n05").state is NodeState.READY for n in fleet.nodes)
+
+
+async def test_groups_that_started_apart_find_each_other(fleet: Fleet) -> None:
+    """Guards against two fleets that both believe to be the whole one."""
+    one, two = await fleet.add("one"), await fleet.add("two", "d2")
+    fleet.cuts.add(frozenset(("d1", "d2")))
+    assert [type(await node.join()) for node in (one, two)] == [Founded, Founded]
+    fleet.cuts.clear()
+    await one.gossip._meet_seeds()
+    await eventually(lambda: converged(fleet) and len(one.view) == 2)
+
+
+async def test_leaving_is_told(fleet: Fleet) -> None:
+    """Guards against a node that others keep using after it left."""
+    await fleet.grow(6)
+    await eventually(lambda: converged(fleet))
+    leaver = fleet.nodes[2]
+    await leaver.gossip.leave()
+    await fleet.stop(leaver)
+    await eventually(
+        lambda: all(n.view.get(leaver.node_id).state is NodeState.LEFT for n in fleet.nodes)
+    )
+    assert all(len(n.view.targets_by_service(0.0)["shop"]) == 5 for n in fleet.nodes)
+
+
+@pytest.mark.parametrize(
+    ("peers", "cut", "expected"), [(0, False, True), (3, False, True), (3, True, False)]
+)
+async def test_replicate(fleet: Fleet, peers: int, cut: bool, expected: bool) -> None:
+    """Guards against a reader that puts in force a version that only it holds."""
+    await fleet.grow(1 + peers)
+    if cut:
+        fleet.isolated.add(fleet.nodes[0].address)
+    fleet.nodes[0].holder.held_version = 1
+    assert await fleet.nodes[0].gossip.replicate() is expected
+    assert any(node.holder.held_version == 1 for node in fleet.nodes[1:]) == (peers > 0 and not cut)
+
+
+async def test_status_covers_nodes_that_do_not_answer(fleet: Fleet) -> None:
+    """Guards against an operator's overview that silently lacks nodes."""
+    await fleet.grow(6, TWO_REGIONS)
+    await eventually(lambda: converged(fleet))
+    fleet.isolated.add(fleet.nodes[4].address)
+    statuses = await fleet.nodes[0].gossip.collect_status()
+    answered = {status.node_id: status.answered for status in statuses}
+    assert answered == {node.node_id: node is not fleet.nodes[4] for node in fleet.nodes}
+
+
+async def test_another_node_at_a_known_address_is_not_mistaken(fleet: Fleet) -> None:
+    """Guards against a replaced host that keeps its predecessor's record alive."""
+    await fleet.grow(3)
+    await eventually(lambda: converged(fleet))
+    gone = replace(make_record("gone"), control_address=fleet.nodes[1].address)
+    push = Push("gone", 0, records=(gone,))
+    outcome = await fleet.nodes[0].gossip._call(fleet.nodes[1].view.own, push)
+    assert isinstance(outcome, Replied)
+    await eventually(lambda: all(n.view.get("gone") is not None for n in fleet.nodes))
+    await eventually(lambda: not any(n.view.is_reachable("gone") for n in fleet.nodes))
+
+
+async def test_join_replies_are_limited() -> None:
+    """Guards against a reconnect storm that takes over the nodes which still run."""
+    view = MembershipView(make_record("own"), 0.0)
+    server = JoinServer(view, 20.0, random.Random(1), 0.0)
+    first = [server.admit(0.0) for _ in range(1000)]
+    assert sum(outcome is None for outcome in first) == 20
+    waits = [outcome.retry_after_s for outcome in first if isinstance(outcome, Busy)]
+    assert 10.0 < max(waits) < 100.0, "the declined nodes are spread over the time that they need"
+    admitted = sum(server.admit(step / 100.0) is None for step in range(1, 1001))
+    assert 195 <= admitted <= 201
+    assert await server.pieces(0.0) == await server.pieces(1.0)
+
+
+def test_accusation_of_a_left_node_is_ignored() -> None:
+    """Guards against accusations that keep a record which is to be forgotten."""
+    view = MembershipView(make_record("own", state=NodeState.LEFT), 0.0)
+    view.accuse(Accusation("own", Stamp(9, 9)), 0.0)
+    assert view.own.stamp == Stamp(1, 0)
