Add the daemon: build, start, join, drain and close a node

Cause: the modules of the node existed without a process that owns them. Wiring them showed three faults. Gossip had offer classes of its own, so every offer to the real ConfigHolder raised TypeError and nodes never became ready. ConfigHolder had no on_news. A restarted node put the version of the first peer that answered into force before it knew the floor, so it could return to an older version than one it had used.

Change: jaypost/daemon.py; gossip uses the offers of config.py; ConfigHolder calls on_news and is suspended until the node has read the store or asked its peers; a reader brings a version that is already replicated into force after the suspension.

--- a/bench/membership.py
+++ b/bench/membership.py
@@ -27,8 +27,9 @@
 import uvloop
 
 from jaypost import settings as settings_module
+from jaypost.config import OfferDeltas, OfferTable
 from jaypost.gossip import Gossip
-from jaypost.messages import OfferDeltas, OfferTable, Ping, Pong, RecordPiece
+from jaypost.messages import Ping, Pong, RecordPiece
 from jaypost.peers import ByteKey, Direction, Link, PeerChannels, PeerServer, pack, unpack
 from jaypost.records import (
     Address,
--- a/jaypost/config.py
+++ b/jaypost/config.py
@@ -7,7 +7,7 @@
 from __future__ import annotations
 
 from collections import Counter, deque
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass
 from functools import singledispatchmethod
 
@@ -108,6 +108,8 @@
         The newest held version if it is refused.
     outcomes_by_kind : Counter of str
         Offers by the name of their outcome.
+    on_news : Callable[[], None] or None
+        Called when the held version rose.
     """
 
     def __init__(self, settings: Settings, node_id: str) -> None:
@@ -117,11 +119,13 @@
         self._deltas: deque[Delta] = deque(maxlen=KEPT_DELTAS)
         self._valid: Table | None = None
         self._in_force = table.EMPTY_TABLE
+        self._suspended = False
         self._targets_by_service: Mapping[str, tuple[PlacedTarget, ...]] = {}
         self.snapshot = Snapshot()
         self.floor = 0
         self.refused: RefusedVersion | None = None
         self.outcomes_by_kind: Counter[str] = Counter()
+        self.on_news: Callable[[], None] | None = None
 
     @property
     def held_version(self) -> int:
@@ -145,6 +149,19 @@
         """
         self.floor = max(self.floor, version)
 
+    def suspend(self) -> None:
+        """Keep every version out of force until `resume`.
+
+        A restarted node does not know what it had in force before, and the first peer that it
+        asks may hold an older version.
+        """
+        self._suspended = True
+
+    def resume(self, floor: int) -> None:
+        """Let versions of at least `floor` come into force again, by the next `activate`."""
+        self._suspended = False
+        self.raise_floor(floor)
+
     def deltas_since(self, version: int) -> tuple[Delta, ...] | None:
         """Return the deltas from `version` to the held one, or None when a table is needed."""
         if version >= self.held_version:
@@ -168,6 +185,7 @@
         OfferOutcome
             Outcome for the newest version of the offer.
         """
+        held_before = self.held_version
         taken = self._take(message)
         # A peer that offers a version has it too, so it need not be replicated any more.
         confirmed = self._valid is not None and (
@@ -176,6 +194,8 @@
         applied = self.activate() if activate and confirmed else None
         outcome = applied if applied and not isinstance(taken, RefusedVersion) else taken
         self.outcomes_by_kind[type(outcome).__name__] += 1
+        if self.on_news is not None and self.held_version > held_before:
+            self.on_news()
         if isinstance(outcome, RefusedVersion):
             log.error(
                 "version_refused",
@@ -190,7 +210,7 @@
     def activate(self) -> Applied | None:
         """Put the newest valid version in force; None when there is nothing newer to put."""
         version = self._valid
-        if version is None or self.held_version < self.floor:
+        if version is None or self._suspended or self.held_version < self.floor:
             return None
         self._valid = None
         if not self._may_come_into_force(version):
--- /dev/null
+++ b/jaypost/daemon.py
@@ -0,0 +1,373 @@
+"""The daemon `jaypostd`: builds, starts and closes the parts of a node."""
+
+from __future__ import annotations
+
+import argparse
+import asyncio
+import contextlib
+import os
+import random
+import signal
+import sys
+import time
+from collections import Counter
+from collections.abc import Coroutine, Mapping
+from dataclasses import dataclass
+from typing import Any
+
+import structlog
+import uvloop
+
+from jaypost import __version__, logs, settings
+from jaypost.admin import AdminServer, FleetReport, Readiness
+from jaypost.admission import Admission
+from jaypost.announcements import Announcements, DrainAll
+from jaypost.calls import CallEnded
+from jaypost.claims import Claims
+from jaypost.config import ConfigHolder
+from jaypost.egress import Egress
+from jaypost.events import EventLog
+from jaypost.explanations import Explanation, NodePlace, explain
+from jaypost.gossip import Gossip
+from jaypost.health import TargetHealth
+from jaypost.ingress import Ingress
+from jaypost.invariants import raise_on_violation
+from jaypost.joining import Joined
+from jaypost.limits import FleetLimits
+from jaypost.logs import EventName
+from jaypost.metrics import Metrics
+from jaypost.peers import PeerChannels
+from jaypost.placement import Placement
+from jaypost.readers import ReadFailed, TableReader
+from jaypost.records import Address, NodeRecord, NodeState, Snapshot, Stamp, Target
+from jaypost.retries import RetryPolicy
+from jaypost.seeds import StoreSeeds
+from jaypost.settings import LoadedSettings, RefusedSettings, Settings
+from jaypost.store import StoreClient
+from jaypost.view import MembershipView
+
+log = structlog.get_logger(__name__)
+
+EXIT_USAGE = 2
+EXIT_DRAIN_TIMEOUT = 1
+
+
+@dataclass(frozen=True, slots=True)
+class LocalStatus:
+    """Status of this node for ``GET /status``; the first fields are those of `NodeStatus`."""
+
+    node_id: str
+    failure_domain: str
+    region: str
+    state: NodeState
+    answered: bool
+    held_version: int
+    in_force_version: int
+    problems: tuple[str, ...]
+    ready: bool
+    not_ready_because: str
+    reader: bool
+    known_nodes: int
+    unreachable_nodes: tuple[str, ...]
+    targets: tuple[Target, ...]
+    store_contact_age_s: float | None
+
+
+class Node:
+    """All parts of one node.
+
+    Parameters
+    ----------
+    node_settings : Settings
+        Checked settings.
+    """
+
+    def __init__(self, node_settings: Settings) -> None:
+        self.settings = node_settings
+        rng = random.Random()
+        self.events = EventLog()
+        self.metrics = Metrics(node_settings.label_limit)
+        self.store = StoreClient(node_settings.store, node_settings.store_timeout_s)
+        self.holder = ConfigHolder(node_settings, node_settings.node_id)
+        self.holder.suspend()
+        self.announcements = Announcements(node_settings, self._on_targets, self.events)
+        self.admin = AdminServer(node_settings, self, self.announcements, self.events, self.metrics)
+        self.health = TargetHealth(node_settings.ramp_s)
+        self.placement = Placement(
+            node_settings.failure_domain, node_settings.region, self.health, rng
+        )
+        self.egress = Egress(
+            node_settings,
+            Admission(),
+            FleetLimits(),
+            self._snapshot,
+            self.metrics.execution_ended,
+        )
+        self.ingress = Ingress(
+            node_settings,
+            self.placement,
+            RetryPolicy(rng),
+            Claims(self.store, node_settings.claim_rate),
+            self._snapshot,
+            self._on_call_ended,
+            self.egress,
+        )
+        self._rng = rng
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._ready = False
+        self._reason = "the node has not joined the fleet"
+        self._leaving = asyncio.Event()
+
+    async def start(self) -> None:
+        """Open all sockets, then join in the background."""
+        await self.store.start()
+        self.announcements.start()
+        await self.admin.start()
+        peer = await self.egress.start()
+        await self.ingress.start()
+        await self._start_membership(peer)
+        self._spawn(self._become_ready())
+        self.metrics.add_source(self._update_metrics)
+        self.events.record(EventName.NODE_STARTED, node=self.settings.node_id, process=os.getpid())
+
+    async def _start_membership(self, peer: Address) -> None:
+        own = self.settings
+        record = NodeRecord(
+            own.node_id,
+            own.failure_domain,
+            own.region,
+            own.advertise_peer or peer,
+            own.advertise_control or own.listen_control,
+            own.advertise_admin or self.admin.address,
+            Stamp(time.time_ns() // 1_000_000, 1),
+            NodeState.JOINING,
+            self.announcements.targets,
+        )
+        self.view = MembershipView(
+            record, time.monotonic(), own.suspicion_s, own.readers_per_domain
+        )
+        channels = PeerChannels(own.connect_timeout_s)
+        seeds = StoreSeeds(self.store, own.failure_domain, own.node_id)
+        self.gossip = Gossip(own, self.view, self.holder, channels, self._rng, seeds)
+        self.gossip.on_view_changed = self._on_view_changed
+        self.gossip.status_problems = self._problems
+        self.reader = TableReader(
+            self.store, self.holder, self.gossip.replicate, self.gossip.is_reader, own
+        )
+        await self.gossip.start()
+
+    async def run(self) -> int:
+        """Serve until told to leave, then drain.
+
+        Returns
+        -------
+        int
+            Exit code: 0, or 1 when calls in flight were cut by the drain timeout.
+        """
+        loop = asyncio.get_running_loop()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, self._leaving.set)
+        await self._leaving.wait()
+        done = await self._leave()
+        await self.close()
+        self.events.record(EventName.NODE_STOPPED, node=self.settings.node_id, drained=done)
+        return 0 if done else EXIT_DRAIN_TIMEOUT
+
+    async def _leave(self) -> bool:
+        self.events.record(EventName.NODE_DRAINING, node=self.settings.node_id)
+        self._ready, self._reason = False, "the node is leaving"
+        self.announcements.handle(DrainAll(time.monotonic()))
+        self.gossip.publish(state=NodeState.LEAVING)
+        drained = await asyncio.gather(self.ingress.drain(), self.egress.drain())
+        await self.gossip.leave()
+        return all(drained)
+
+    async def close(self) -> None:
+        """Close every part in the reverse order of `start`."""
+        tasks = list(self._tasks)
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+        await self.reader.close()
+        await self.ingress.close()
+        await self.egress.close()
+        await self.gossip.close()
+        await self.admin.close()
+        await self.announcements.close()
+        await self.store.close()
+
+    def _spawn(self, work: Coroutine[Any, Any, None]) -> None:
+        task: asyncio.Task[None] = asyncio.create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._finished)
+
+    def _finished(self, task: asyncio.Task[None]) -> None:
+        self._tasks.discard(task)
+        if not task.cancelled() and task.exception() is not None:
+            log.error("node_task_failed", exc_info=task.exception())
+
+    async def _become_ready(self) -> None:
+        """Join, then wait until no version older than one used before can come into force."""
+        outcome = await self.gossip.join()
+        self._reason = "the newest table version is not known yet"
+        read = await self.reader.read_once()
+        while isinstance(read, ReadFailed) and not isinstance(outcome, Joined):
+            await asyncio.sleep(self.settings.store_backoff_min_s)
+            read = await self.reader.read_once()
+        self.holder.resume(outcome.highest_version if isinstance(outcome, Joined) else 0)
+        self._reason = "the newest table version is not in force yet"
+        await self._bring_into_force()
+        self.reader.start()
+        self._ready, self._reason = True, ""
+        self.gossip.publish(state=NodeState.READY)
+        version = self.holder.in_force_version
+        self.events.record(EventName.NODE_READY, node=self.settings.node_id, version=version)
+
+    async def _bring_into_force(self) -> None:
+        while True:
+            replicated = await self.reader.bring_into_force()
+            if replicated and self.holder.held_version >= self.holder.floor:
+                return
+            await asyncio.sleep(self.settings.store_backoff_min_s)
+
+    def _update_metrics(self, metrics: Metrics) -> None:
+        metrics.version_held(self.holder.held_version)
+        metrics.version_applied(self.holder.in_force_version, None)
+        metrics.readiness_changed(self._ready)
+        metrics.nodes_changed(Counter(record.state for record in self.view.records()))
+        for key, count in self.gossip.byte_counts.items():
+            metrics.control_bytes(key.kind, key.link, key.direction, count)
+        for target in self.announcements.targets:
+            load = self.egress.admission.load(target.target_id)
+            metrics.load_changed(target.service, load.busy, load.slots, load.queued)
+
+    def _snapshot(self) -> Snapshot:
+        return self.holder.snapshot
+
+    def _on_targets(self, targets: tuple[Target, ...]) -> None:
+        self.egress.set_targets(targets)
+        self.gossip.publish(targets=targets)
+
+    def _on_view_changed(self) -> None:
+        self.holder.targets_changed(self.view.targets_by_service(time.monotonic()))
+
+    def _on_call_ended(self, call: CallEnded) -> None:
+        self.metrics.call_ended(call)
+        if call.kind is not None:
+            log.info(
+                "call_failed",
+                request_id=call.request_id,
+                version=call.version,
+                service=call.service,
+                kind=call.kind,
+                run=call.run_state,
+                attempts=call.attempts,
+            )
+
+    # Queries of the admin port
+
+    def readiness(self) -> Readiness:
+        """Return whether the node is ready."""
+        return Readiness(self._ready, self._reason)
+
+    def status(self) -> LocalStatus:
+        """Return the status of this node."""
+        own = self.view.own
+        contact = self.reader.last_contact
+        return LocalStatus(
+            own.node_id,
+            own.failure_domain,
+            own.region,
+            own.state,
+            True,
+            self.holder.held_version,
+            self.holder.in_force_version,
+            self._problems(),
+            self._ready,
+            self._reason,
+            self.gossip.is_reader(),
+            len(self.view),
+            self._unreachable_nodes(),
+            self.announcements.targets,
+            None if contact is None else time.monotonic() - contact,
+        )
+
+    async def fleet(self) -> FleetReport:
+        """Collect the status of all nodes."""
+        statuses = await self.gossip.collect_status()
+        return FleetReport(statuses, unreachable=self._unreachable_nodes())
+
+    def _unreachable_nodes(self) -> tuple[str, ...]:
+        ids = (record.node_id for record in self.view.records())
+        return tuple(node_id for node_id in ids if not self.view.is_reachable(node_id))
+
+    def _problems(self) -> tuple[str, ...]:
+        refused = self.holder.refused
+        if refused is None:
+            return ()
+        return tuple(f"{p.service}.{p.column}: {p.reason}" for p in refused.problems)
+
+    def explain(self, service: str) -> Explanation | None:
+        """Return how this node routes requests for `service`."""
+        place = NodePlace(self.settings.node_id, self.settings.failure_domain, self.settings.region)
+        now = time.monotonic()
+        return explain(
+            service,
+            self.holder.snapshot,
+            place,
+            lambda target_id: self.health.weight(target_id, now),
+            lambda target_id: None,
+        )
+
+    def drain(self) -> None:
+        """Leave the fleet, as on SIGTERM."""
+        self._leaving.set()
+
+
+async def _serve(node_settings: Settings) -> int:
+    node = Node(node_settings)
+    await node.start()
+    return await node.run()
+
+
+def _parser() -> argparse.ArgumentParser:
+    parser = argparse.ArgumentParser(
+        prog="jaypostd", description="Node of the jaypost service mesh; one runs on each host."
+    )
+    parser.add_argument("--version", action="version", version=__version__)
+    parser.add_argument(
+        "--check-settings", action="store_true", help="print the effective settings and exit"
+    )
+    settings.add_flags(parser)
+    return parser
+
+
+def load_settings(
+    arguments: argparse.Namespace, environment: Mapping[str, str]
+) -> LoadedSettings | None:
+    """Load the settings, or print every problem on stderr and return None."""
+    loaded = settings.load(arguments, environment)
+    if isinstance(loaded, RefusedSettings):
+        for problem in loaded.problems:
+            print(f"jaypostd: {problem.name}={problem.value!r}: {problem.reason}", file=sys.stderr)
+        return None
+    return loaded
+
+
+def main() -> None:
+    """Run the daemon."""
+    arguments = _parser().parse_args()
+    loaded = load_settings(arguments, os.environ)
+    if loaded is None:
+        sys.exit(EXIT_USAGE)
+    if arguments.check_settings:
+        print(settings.describe(loaded))
+        sys.exit(0)
+    logs.setup(loaded.settings.log_level)
+    raise_on_violation(loaded.settings.raise_on_violation)
+    with contextlib.suppress(KeyboardInterrupt):
+        sys.exit(uvloop.run(_serve(loaded.settings)))
+
+
+if __name__ == "__main__":
+    main()
--- a/jaypost/gossip.py
+++ b/jaypost/gossip.py
@@ -17,6 +17,7 @@
 
 from jaypost import comparison
 from jaypost.beacons import BeaconBoard, DomainContacts
+from jaypost.config import OfferDeltas, OfferTable
 from jaypost.joining import Joiner, JoinOutcome, JoinServer
 from jaypost.messages import (
     Beacon,
@@ -29,8 +30,6 @@
     Join,
     JoinReply,
     NodeStatus,
-    OfferDeltas,
-    OfferTable,
     Ping,
     Pong,
     Probe,
--- a/jaypost/messages.py
+++ b/jaypost/messages.py
@@ -14,20 +14,6 @@
 from jaypost.view import AgedAccusation
 
 
-@dataclass(frozen=True, slots=True)
-class OfferDeltas:
-    """Deltas offered to the configuration holder, in the order of their versions."""
-
-    deltas: tuple[Delta, ...]
-
-
-@dataclass(frozen=True, slots=True)
-class OfferTable:
-    """A whole table offered to the configuration holder."""
-
-    table: Table
-
-
 @dataclass(frozen=True, slots=True)
 class CutDomain:
     """A failure domain that a reader has no contact with, and for how many seconds."""
--- a/jaypost/readers.py
+++ b/jaypost/readers.py
@@ -123,7 +123,7 @@
         """
         outcome = await self._read(wait_s=0.0)
         if self._needs_replication():
-            await self._bring_into_force()
+            await self.bring_into_force()
         return outcome
 
     async def _run(self) -> None:
@@ -152,7 +152,7 @@
             return
         progress = isinstance(outcome, ReadHead)
         if self._needs_replication():
-            progress = await self._bring_into_force()
+            progress = await self.bring_into_force()
             if not progress:
                 log.warning("version_not_replicated", version=self._holder.held_version)
         elif self._clock() - started >= self._settings.store_backoff_min_s:
@@ -167,8 +167,11 @@
         held = self._holder.held_version
         return held > max(self._replicated_version, self._holder.in_force_version)
 
-    async def _bring_into_force(self) -> bool:
+    async def bring_into_force(self) -> bool:
         """Replicate the held version and activate it; false when no other node has it."""
+        if not self._needs_replication():
+            self._holder.activate()
+            return True
         version = self._holder.held_version
         if not await self._replicate():
             return False
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -10,8 +10,8 @@
 from typing import Any
 
 from jaypost import settings as settings_module
+from jaypost.config import OfferDeltas, OfferTable
 from jaypost.gossip import Gossip
-from jaypost.messages import OfferDeltas, OfferTable
 from jaypost.peers import PeerChannels
 from jaypost.records import (
     Address,
