Recognise long work while it runs and queue first attempts less eagerly

Cause: with undeclared long work a cold node filled its slots with it before the first of it ended, and an ingress took one busy slot less than all for a full target, so that it queued at a load of about 0.9.

Change: LongWork takes running requests into account; only a refusal or a target with all slots busy counts as full.

--- a/bench/policies.py
+++ b/bench/policies.py
@@ -458,9 +458,12 @@
         egress = self.egresses[attempt.number]
         ticket = str(next(self._tickets))
         self._attempt_by_ticket[ticket] = attempt
-        call_class = egress.long_work.classify(self.row, attempt.request.path)
+        call_class = egress.long_work.classify(self.row, attempt.request.path, now)
         if attempt.long:
             call_class = CallClass.LONG
+        # The egress tells its class with the answer, because an ingress of many sees too few
+        # requests to find it out.
+        attempt.long = call_class is CallClass.LONG
         admit = Admit(
             ticket,
             attempt.target.target.target_id,
@@ -486,6 +489,9 @@
     def _serve(self, ticket: str) -> None:
         attempt = self._attempt_by_ticket[ticket]
         attempt.admitted = self.simulation.now
+        self.egresses[attempt.number].long_work.started(
+            ticket, "bench", attempt.request.path, attempt.admitted
+        )
         end = self.simulation.service_end(attempt.number, attempt.request.work_s)
         self.simulation.at(end, lambda: self._served(ticket))
 
@@ -494,7 +500,7 @@
         attempt = self._attempt_by_ticket.pop(ticket)
         egress = self.egresses[attempt.number]
         duration_s = now - attempt.admitted
-        egress.long_work.observe("bench", attempt.request.path, duration_s)
+        egress.long_work.observe("bench", attempt.request.path, duration_s, ticket)
         decisions = egress.admission.handle(Release(ticket, duration_s, now))
         self._back(attempt, None, egress.admission.load(attempt.target.target.target_id))
         self._apply(decisions)
--- a/jaypost/admission.py
+++ b/jaypost/admission.py
@@ -31,6 +31,7 @@
 LONG_FACTOR = 8.0
 STILL_LONG_FACTOR = 4.0
 PREFIX_SAMPLES = 5
+OVERDUE_REQUESTS = 2
 PREFIX_GAIN = 1 / 16
 PREFIX_LIMIT = 64
 MEDIAN_WINDOW = 101
@@ -602,6 +603,7 @@
     mean_s: float = 0.0
     count: int = 0
     is_long: bool = False
+    started_by_ticket: dict[str, float] = field(default_factory=dict)
 
 
 @dataclass(slots=True)
@@ -620,21 +622,31 @@
     def __init__(self) -> None:
         self._durations_by_service: dict[str, _ServiceDurations] = {}
 
-    def classify(self, row: Row, path: str) -> CallClass:
-        """Return the class of a request."""
+    def classify(self, row: Row, path: str, now: float | None = None) -> CallClass:
+        """Return the class of a request; with `now`, running requests are taken into account."""
         if any(path.startswith(prefix) for prefix in row.long_prefixes):
             return CallClass.LONG
         service = self._durations_by_service.get(row.service)
         if service is None:
             return CallClass.SHORT
         prefix = service.prefix_by_path.get(path_prefix(path))
-        return CallClass.LONG if prefix is not None and prefix.is_long else CallClass.SHORT
+        if prefix is None:
+            return CallClass.SHORT
+        if now is not None and not prefix.is_long:
+            prefix.is_long = self._has_overdue(service, prefix, now)
+        return CallClass.LONG if prefix.is_long else CallClass.SHORT
+
+    def started(self, ticket: str, service: str, path: str, now: float) -> None:
+        """Take the start of a request into account, so that long work shows before it ends."""
+        durations = self._durations_by_service.setdefault(service, _ServiceDurations())
+        self._prefix(durations, path_prefix(path)).started_by_ticket[ticket] = now
 
-    def observe(self, service: str, path: str, duration_s: float) -> None:
+    def observe(self, service: str, path: str, duration_s: float, ticket: str = "") -> None:
         """Take the duration of one request into account."""
         durations = self._durations_by_service.setdefault(service, _ServiceDurations())
         self._learn_median(durations, duration_s)
         prefix = self._prefix(durations, path_prefix(path))
+        prefix.started_by_ticket.pop(ticket, None)
         prefix.count += 1
         gain = max(1.0 / prefix.count, PREFIX_GAIN)
         prefix.mean_s += gain * (duration_s - prefix.mean_s)
@@ -647,6 +659,14 @@
         """Drop what is known about a service whose row was deleted."""
         self._durations_by_service.pop(service, None)
 
+    @staticmethod
+    def _has_overdue(durations: _ServiceDurations, prefix: _PrefixDurations, now: float) -> bool:
+        if len(durations.recent_s) < MEDIAN_INTERVAL:
+            return False
+        limit_s = LONG_FACTOR * durations.median_s
+        oldest = itertools.islice(prefix.started_by_ticket.values(), OVERDUE_REQUESTS)
+        return sum(now - started > limit_s for started in oldest) == OVERDUE_REQUESTS
+
     @staticmethod
     def _learn_median(durations: _ServiceDurations, duration_s: float) -> None:
         durations.recent_s.append(duration_s)
--- a/jaypost/placement.py
+++ b/jaypost/placement.py
@@ -533,7 +533,7 @@
         hint = event.load
         if hint is not None and not event.long_work:
             # The slot of an answered request is free again when its load is reported.
-            full = refused or hint.busy >= hint.slots - 1
+            full = refused or hint.busy >= hint.slots
             state.crowding(load.tier).learn(load, full, event.now)
         if event.kind is None and not event.long_work:
             gain = LATENCY_GAIN if state.latency_s else 1.0
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -214,6 +214,19 @@
     assert work.classify(Row("docs", long_prefixes=("/plans/",)), "/plans/1") is CallClass.LONG
 
 
+def test_long_work_is_recognised_while_it_runs():
+    """A cold node must not fill every slot with long work before the first of it ends."""
+    work = LongWork()
+    for number in range(20):
+        work.started(f"s{number}", "docs", "/stock/1", 0.0)
+        work.observe("docs", "/stock/1", 0.02, f"s{number}")
+    work.started("l1", "docs", "/cartoons/1", 1.0)
+    work.started("l2", "docs", "/cartoons/2", 1.1)
+    assert work.classify(ROW, "/cartoons/3", 1.2) is CallClass.SHORT
+    assert work.classify(ROW, "/cartoons/3", 1.3) is CallClass.LONG
+    assert work.classify(ROW, "/stock/3", 1.3) is CallClass.SHORT
+
+
 def test_memory_is_bounded_for_any_number_of_tenants_and_prefixes():
     built = admission(slots=1)
     work = LongWork()
