Set gauges of loads, ejections and nodes as a whole

Cause: load_changed kept the last of several targets of a service on a host and the last value of a target that is gone; the number of nodes of a state that no node has any more stayed. Change: loads_changed, ejections_changed and nodes_changed take all values, add those that share a label and set the others to 0. The names ingress_call_ended and egress_call_ended are back, as the daemon uses them.

--- a/jaypost/metrics.py
+++ b/jaypost/metrics.py
@@ -4,16 +4,19 @@
 
 import asyncio
 import re
-from collections.abc import Callable, Mapping
+from collections import Counter
+from collections.abc import Callable, Iterable, Mapping
 from enum import StrEnum
 from typing import Protocol
 
-from aioprometheus import Counter, Gauge, Histogram, Registry
+from aioprometheus import Counter as CounterMetric
+from aioprometheus import Gauge, Histogram, Registry
 from aioprometheus.formats.text import TextFormatter
 
 from jaypost import invariants
 from jaypost.admission import CallClass
 from jaypost.errors import ErrorKind, RunState
+from jaypost.records import Load
 
 CONTENT_TYPE = "text/plain; version=0.0.4; charset=utf-8"
 OTHER = "other"
@@ -168,7 +171,7 @@
             "invariant_violations_total", "Violations of rules that must always hold"
         )
 
-    def call_ended(self, call: EndedCall) -> None:
+    def ingress_call_ended(self, call: EndedCall) -> None:
         """Count a call that this node answered to its caller, its total time and its retries."""
         self._calls.inc(self._labels(service=call.service, kind=_kind_label(call.kind)))
         labels = self._labels(tenant=call.tenant, call_class=call.call_class)
@@ -176,7 +179,7 @@
         if call.attempts > 1:
             self._retries.add(self._labels(service=call.service), call.attempts - 1)
 
-    def execution_ended(self, call: EndedCall) -> None:
+    def egress_call_ended(self, call: EndedCall) -> None:
         """Count a call to a target of this host, and the times of those that were dispatched."""
         self._executions.inc(self._labels(service=call.service, kind=_kind_label(call.kind)))
         if call.run_state is RunState.NOT_RUN:
@@ -189,16 +192,22 @@
         """Count a hedged attempt."""
         self._hedges.inc(self._labels(service=service))
 
-    def load_changed(self, service: str, busy: int, slots: int, queued: int) -> None:
-        """Set the load of the local targets of a service."""
-        labels = self._labels(service=service)
-        self._busy.set(labels, busy)
-        self._slots.set(labels, slots)
-        self._queued.set(labels, queued)
-
-    def ejections_changed(self, service: str, ejected: int) -> None:
-        """Set the number of targets of a service that this node does not use."""
-        self._ejected.set(self._labels(service=service), ejected)
+    def loads_changed(self, loads: Iterable[tuple[str, Load]]) -> None:
+        """Set the load of the host from the service and load of each local target."""
+        busy: Counter[str] = Counter()
+        slots: Counter[str] = Counter()
+        queued: Counter[str] = Counter()
+        for service, load in loads:
+            busy[service] += load.busy
+            slots[service] += load.slots
+            queued[service] += load.queued
+        self._set_all(self._busy, "service", busy)
+        self._set_all(self._slots, "service", slots)
+        self._set_all(self._queued, "service", queued)
+
+    def ejections_changed(self, ejected_by_service: Mapping[str, int]) -> None:
+        """Set the number of targets of each service that this node does not use."""
+        self._set_all(self._ejected, "service", ejected_by_service)
 
     def version_applied(self, version: int, lag_s: float | None) -> None:
         """Set the version in force; `lag_s` is None when the time of the change is unknown."""
@@ -233,8 +242,7 @@
 
     def nodes_changed(self, count_by_state: Mapping[str, int]) -> None:
         """Set the number of known nodes in each state."""
-        for state, count in count_by_state.items():
-            self._nodes.set(self._labels(state=state), count)
+        self._set_all(self._nodes, "state", count_by_state)
 
     def readiness_changed(self, ready: bool) -> None:
         """Set whether the node is ready."""
@@ -257,6 +265,15 @@
             await asyncio.sleep(0)
         return ("\n".join(blocks) + "\n").encode()
 
+    def _set_all(self, gauge: Gauge, label: str, count_by_value: Mapping[str, int]) -> None:
+        """Set a gauge for all values of a label; values that are not named become 0."""
+        total_by_label = {labels[label]: 0 for labels, _ in gauge.get_all()}
+        for value, count in count_by_value.items():
+            bounded = self._bounded(label, value)
+            total_by_label[bounded] = total_by_label.get(bounded, 0) + count
+        for bounded, total in total_by_label.items():
+            gauge.set({label: bounded}, total)
+
     def _labels(self, **value_by_label: str) -> dict[str, str]:
         return {label: self._bounded(label, value) for label, value in value_by_label.items()}
 
@@ -266,8 +283,8 @@
             values = self._values_by_label[label] = LabelValues(self._label_limit)
         return values.of(value)
 
-    def _counter(self, name: str, text: str) -> Counter:
-        return Counter(f"jaypost_{name}", text, registry=self._registry)
+    def _counter(self, name: str, text: str) -> CounterMetric:
+        return CounterMetric(f"jaypost_{name}", text, registry=self._registry)
 
     def _gauge(self, name: str, text: str) -> Gauge:
         return Gauge(f"jaypost_{name}", text, registry=self._registry)
