Bound the length of a value in a log line

Cause: in a trial of whole nodes one traceback of a library made a line of 3 KB, and nothing bounded it. Change: values are cut at 4,096 characters and tell their length. The observer of decisions may return a value, as EventLog.keep does.

--- a/jaypost/logs.py
+++ b/jaypost/logs.py
@@ -15,6 +15,8 @@
 LINES_PER_SECOND = 5.0
 BURST_LINES = 20.0
 MAX_EVENT_NAMES = 256
+# A traceback of a library quotes whole messages; one of them took 3 KB in a line.
+MAX_VALUE_CHARACTERS = 4096
 OTHER_EVENTS = "other"
 
 LEVEL_BY_NAME: Mapping[str, int] = {
@@ -178,7 +180,7 @@
 class _Observation:
     """Processor that passes decisions of the node to an observer."""
 
-    def __init__(self, observer: Callable[[EventName, Mapping[str, Any]], None] | None) -> None:
+    def __init__(self, observer: Callable[[EventName, Mapping[str, Any]], object] | None) -> None:
         self._observer = observer
 
     def __call__(
@@ -228,7 +230,7 @@
     level: str,
     stream: TextIO | None = None,
     limiter: RateLimiter | None = None,
-    observer: Callable[[EventName, Mapping[str, Any]], None] | None = None,
+    observer: Callable[[EventName, Mapping[str, Any]], object] | None = None,
 ) -> None:
     """Configure structlog and the standard logging module.
 
@@ -288,8 +290,11 @@
 def _without_control_characters(value: object) -> object:
     if value is None or isinstance(value, bool | int | float):
         return value
+    text = str(value)
+    if len(text) > MAX_VALUE_CHARACTERS:
+        text = f"{text[:MAX_VALUE_CHARACTERS]}...({len(text)} characters)"
     # The renderer escapes line feeds; it leaves other control characters as they are.
-    return printable(str(value), kept="\n")
+    return printable(text, kept="\n")
 
 
 def printable(text: str, kept: str = "") -> str:
--- a/tests/test_logs.py
+++ b/tests/test_logs.py
@@ -87,6 +87,7 @@
         ("a\nlevel=error", r"a\nlevel=error"),
         ("a\rb", "value=a<0d>b"),
         ("\x1b[31m", "value=<1b>[31m"),
+        ("x" * 100_000, "x...(100000"),
         (3.5, "value=3.5"),
         ("a\u2028b", "value=a<2028>b"),
         (True, "value=true"),
