Fix the outcome of a change that gives up after races, check digests once

A writer that gave up after many races reported no effect although an earlier write of unknown effect might have won the last race. It now reports Undecided. The new test failed with the rule removed.

--- a/jaypost/table.py
+++ b/jaypost/table.py
@@ -139,25 +139,24 @@
 
     The result is checked against the digest in the delta. It is not validated.
     """
-    if delta.version != table.version + 1:
-        return DeltaRefused(delta.version, f"does not follow version {table.version}")
-    for change in delta.rows:
-        if change.row is not None and change.row.service != change.service:
-            return DeltaRefused(delta.version, f"row of {change.service!r} names another service")
-    rows_by_service = change_rows(table.rows_by_service, delta.rows)
-    if digest(rows_by_service) != delta.digest:
-        return DeltaRefused(delta.version, "digest does not match the rows")
-    return Table(delta.version, rows_by_service, delta.digest)
+    return apply_deltas(table, (delta,))
 
 
 def apply_deltas(table: Table, deltas: Iterable[Delta]) -> Table | DeltaRefused:
-    """Apply `deltas` in order, or return why one of them does not follow."""
+    """Apply consecutive deltas and check the result against the digest in the last one."""
+    version, rows_by_service, expected = table.version, table.rows_by_service, table.digest
     for delta in deltas:
-        applied = apply_delta(table, delta)
-        if isinstance(applied, DeltaRefused):
-            return applied
-        table = applied
-    return table
+        if delta.version != version + 1:
+            return DeltaRefused(delta.version, f"does not follow version {version}")
+        for change in delta.rows:
+            if change.row is not None and change.row.service != change.service:
+                reason = f"row of {change.service!r} names another service"
+                return DeltaRefused(delta.version, reason)
+        rows_by_service = change_rows(rows_by_service, delta.rows)
+        version, expected = delta.version, delta.digest
+    if version != table.version and digest(rows_by_service) != expected:
+        return DeltaRefused(version, "digest does not match the rows")
+    return Table(version, rows_by_service, expected)
 
 
 def digest(rows_by_service: Mapping[str, Row]) -> str:
--- a/jaypost/writers.py
+++ b/jaypost/writers.py
@@ -23,8 +23,8 @@
 # An archive whose deletion failed is deleted by one of the next folds.
 PRUNE_OVERLAP = 4
 MAX_VALUE_BYTES = 1 << 20
-# Every reader receives the head on each change, so large deltas are folded early.
-MAX_HEAD_BYTES = 64 << 10
+# Every reader receives the head on each change, so a large delta is folded by the next one.
+MAX_HEAD_BYTES = 16 << 10
 MAX_FAILURES = 8
 MAX_RACES = 64
 BACKOFF_MIN_S = 0.2
@@ -205,7 +205,8 @@
             if isinstance(outcome, _Raced):
                 progress.races += 1
                 if progress.races >= MAX_RACES:
-                    return StoreFailed("other changes kept taking effect first", Effect.NONE)
+                    reason = "other changes kept taking effect first"
+                    return self._give_up(change, progress, StoreFailed(reason, Effect.NONE))
                 continue
             if not isinstance(outcome, StoreFailed):
                 return outcome
--- a/tests/test_writers.py
+++ b/tests/test_writers.py
@@ -14,7 +14,7 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, precondition, rule
 
-from jaypost import layout, table
+from jaypost import layout, table, writers
 from jaypost.records import Destination, Row, RowChange, Table
 from jaypost.store import Effect, StoreFailed
 from jaypost.writers import (
@@ -200,6 +200,22 @@
     assert await set_rows(writer, "ours", A2) == Accepted(1)
 
 
+async def test_giving_up_after_races_is_undecided_while_a_write_may_have_won(monkeypatch):
+    monkeypatch.setattr(writers, "MAX_RACES", 1)
+    fates = deque([Fate.APPLIED_LATE])
+
+    async def choose(kind, key):
+        if (kind, key) != ("put", layout.HEAD_KEY):
+            return Fate.ANSWERED
+        if writer._store.late:
+            writer._store.late.pop()()
+        return fates.popleft() if fates else Fate.ANSWERED
+
+    writer = writer_for(StoreCore(), choose)
+    assert await set_rows(writer, "ours", A) == Undecided("ours")
+    assert isinstance(await writer.status("ours"), ChangeFound)
+
+
 async def test_change_between_read_and_write_is_merged():
     core = StoreCore()
     other = writer_for(core)
