Replicate a pending version after the role ends, bound reads of damaged data

A node that stopped being a reader while its newest version was not acknowledged kept that version out of force: nobody offers a version that a node already holds. It now goes on until one node has it.

It is now read again after 30 s or when the head changes.

A watch waits at most a third of beacon_timeout_s: with 20 s against 15 s the reader of a quiet store would have looked silent.

--- a/jaypost/layout.py
+++ b/jaypost/layout.py
@@ -39,6 +39,12 @@
     revision: int
 
 
+class Damaged(StoreFailed):
+    """A record exists and cannot be used; reading it again gives the same."""
+
+    __slots__ = ()
+
+
 def snapshot_key(version: int) -> str:
     """Return the key of the snapshot of `version`."""
     return f"table/snapshot/{version}"
@@ -122,5 +128,5 @@
     return _damaged(key, record.reason) if isinstance(record, table.Undecodable) else record
 
 
-def _damaged(key: str, reason: str) -> StoreFailed:
-    return StoreFailed(f"{key} is damaged: {reason}", Effect.NONE)
+def _damaged(key: str, reason: str) -> Damaged:
+    return Damaged(f"{key} is damaged: {reason}", Effect.NONE)
--- a/jaypost/readers.py
+++ b/jaypost/readers.py
@@ -20,6 +20,10 @@
 
 # Interval at which a node that is not a reader checks whether it has become one.
 ROLE_CHECK_S = 0.5
+# Contacts with a quiet store in the time after which a beacon counts as silent.
+BEACONS_PER_TIMEOUT = 3
+# A damaged record is read again after this time, unless the head record changes before.
+DAMAGED_RETRY_S = 30.0
 # A store that changes without pause would otherwise be read without pause.
 MIN_READ_INTERVAL_S = 0.05
 
@@ -99,7 +103,10 @@
         self._task: asyncio.Task[None] | None = None
         self._revision = 0
         self._replicated_version = 0
+        self._retry_at: float | None = None
         self._delay_s = settings.store_backoff_min_s
+        # A watch that waits longer would let the beacons of a quiet store grow too old.
+        self._wait_s = min(settings.watch_wait_s, settings.beacon_timeout_s / BEACONS_PER_TIMEOUT)
         self.last_contact: float | None = None
         self.head_read = False
 
@@ -131,6 +138,9 @@
             try:
                 if self._is_reader():
                     await self._step()
+                elif self._needs_replication():
+                    # Nobody offers a version again that this node already holds.
+                    await self._pause(await self._bring_into_force())
                 else:
                     await self._sleep(ROLE_CHECK_S)
             except invariants.InvariantViolationError:
@@ -144,7 +154,7 @@
         """Read once and bring a new version into force, with a pause before the next read."""
         started = self._clock()
         # A version that waits for replication is retried soon, so the watch must not wait.
-        wait_s = 0.0 if self._needs_replication() else self._settings.watch_wait_s
+        wait_s = 0.0 if self._needs_replication() else self._wait_s
         outcome = await self._read(wait_s)
         if isinstance(outcome, ReadFailed):
             log.warning("read_failed", reason=outcome.reason)
@@ -153,10 +163,11 @@
         progress = isinstance(outcome, ReadHead)
         if self._needs_replication():
             progress = await self._bring_into_force()
-            if not progress:
-                log.warning("version_not_replicated", version=self._holder.held_version)
         elif self._clock() - started >= self._settings.store_backoff_min_s:
             progress = True
+        await self._pause(progress)
+
+    async def _pause(self, progress: bool) -> None:
         if progress:
             self._delay_s = self._settings.store_backoff_min_s
             await self._sleep(MIN_READ_INTERVAL_S)
@@ -171,6 +182,7 @@
         """Replicate the held version and activate it; false when no other node has it."""
         version = self._holder.held_version
         if not await self._replicate():
+            log.warning("version_not_replicated", version=version)
             return False
         self._replicated_version = version
         if self._holder.held_version == version:
@@ -185,6 +197,9 @@
         await self._sleep(self._delay_s)
 
     async def _read(self, wait_s: float) -> ReadOutcome:
+        if self._retry_at is not None and self._clock() >= self._retry_at:
+            self._retry_at = None
+            self._revision = 0
         found = await self._store.watch(layout.HEAD_KEY, self._revision, wait_s)
         if isinstance(found, StoreFailed):
             return ReadFailed(found.reason)
@@ -203,18 +218,24 @@
             return NothingNew()
         head = layout.decode_head(found.value)
         if isinstance(head, table.Undecodable):
-            # The record stays as it is until the next change, so it is not read again.
-            log.error("version_refused", key=layout.HEAD_KEY, reason=head.reason)
-            self._revision = found.revision
-            return ReadFailed(f"head record: {head.reason}")
+            return self._refuse(found.revision, f"{layout.HEAD_KEY} is damaged: {head.reason}")
         failure = await self._offer(head)
+        if isinstance(failure, layout.Damaged):
+            return self._refuse(found.revision, failure.reason)
         if failure is not None:
-            return failure
+            return ReadFailed(failure.reason)
         self._revision = found.revision
         self.head_read = True
         return ReadHead(head.version)
 
-    async def _offer(self, head: Head) -> ReadFailed | None:
+    def _refuse(self, revision: int, reason: str) -> ReadFailed:
+        """Leave a damaged version alone until the head record changes or some time has passed."""
+        log.error("version_refused", reason=reason)
+        self._revision = revision
+        self._retry_at = self._clock() + DAMAGED_RETRY_S
+        return ReadFailed(reason)
+
+    async def _offer(self, head: Head) -> StoreFailed | None:
         """Offer the version of `head`, by its deltas or else by its snapshot."""
         if head.version < self._holder.held_version:
             log.warning("store_behind", head=head.version, held=self._holder.held_version)
@@ -223,9 +244,7 @@
             return None
         whole = await layout.read_table(self._store, head)
         if isinstance(whole, StoreFailed):
-            return ReadFailed(whole.reason)
+            return whole
         self.last_contact = self._clock()
         self._holder.offer(OfferTable(whole), activate=False)
-        if self._holder.held_version >= head.version:
-            return None
-        return ReadFailed(f"version {head.version} was not taken")
+        return None
--- a/tests/test_readers.py
+++ b/tests/test_readers.py
@@ -95,6 +95,7 @@
         await change(writer, 2)
         await until(lambda: node.replicated[-1] == (2, 0))
         assert node.holder.snapshot.version == 0
+        node.reading = False
         node.acknowledges = True
         await until(lambda: node.holder.in_force_version == 2)
 
@@ -217,6 +218,38 @@
     assert node.holder.in_force_version == 0
 
 
+async def test_damaged_snapshot_is_read_again_only_now_and_then():
+    now, done = 0.0, asyncio.Event()
+
+    class QuietStore(FixedStore):
+        gets = 0
+
+        async def watch(self, key, after_revision, wait_s):
+            nonlocal now
+            now += wait_s
+            await asyncio.sleep(0)
+            return self.watched if self.watched.revision > after_revision else Unchanged(7)
+
+        async def get(self, key):
+            self.gets += 1
+            return Missing()
+
+    async def sleep(delay_s):
+        nonlocal now
+        now += delay_s
+        if now > 305:
+            done.set()
+            await asyncio.Event().wait()
+
+    store = QuietStore(Found(table.encode(NO_SNAPSHOT), 7))
+    node = Node(store, sleep=sleep, clock=lambda: now)
+    node.reader.start()
+    async with asyncio.timeout(20):
+        await done.wait()
+    await node.reader.close()
+    assert 5 <= store.gets <= 11
+
+
 async def test_good_version_follows_a_damaged_one():
     good = table.encode(Head(2, TABLES[2].digest, 2, ()))
     store = FixedStore(Found(b"x", 7), {layout.snapshot_key(2): table.encode(TABLES[2])})
