Keep slashes in store paths, test the admin path of the stand-in

Keys are quoted with their slashes. A connection that received bytes after a response is not pooled, since the next response would be wrong. The admin path was tested only in process.

--- a/jaypost/store.py
+++ b/jaypost/store.py
@@ -182,6 +182,7 @@
         return (
             self.protocol.our_state is h11.DONE
             and self.protocol.their_state is h11.DONE
+            and not self.protocol.trailing_data[0]
             and not self.lost()
         )
 
@@ -323,7 +324,7 @@
 
     async def list(self, prefix: str) -> ListOutcome:
         """Read all keys that start with `prefix`."""
-        call = _Call("GET", f"/v1/prefix/{quote(prefix, safe='')}")
+        call = _Call("GET", f"/v1/prefix/{quote(prefix)}")
         response = await self._send(call)
         if isinstance(response, StoreFailed):
             return response
@@ -464,7 +465,7 @@
 
 
 def _key_path(key: str) -> str:
-    return f"/v1/kv/{quote(key, safe='')}"
+    return f"/v1/kv/{quote(key)}"
 
 
 def _condition(if_revision: int | None) -> dict[str, str]:
--- a/tests/test_store.py
+++ b/tests/test_store.py
@@ -4,7 +4,9 @@
 
 import asyncio
 import contextlib
+import json
 import sys
+import urllib.request
 
 import pytest
 
@@ -181,15 +183,30 @@
     server.close()
 
 
-async def test_stand_in_runs_as_a_process():
+def call_admin(address, method, path, body=None):
+    request = urllib.request.Request(f"http://{address}{path}", body, method=method)
+    with urllib.request.urlopen(request, timeout=5) as response:
+        return json.load(response)
+
+
+async def test_stand_in_runs_as_a_process_with_faults_and_counts():
     process = await asyncio.create_subprocess_exec(
         *(sys.executable, "-m", "standins.store", "--listen", "127.0.0.1:0"),
         stdout=asyncio.subprocess.PIPE,
     )
     line = (await process.stdout.readline()).decode()
-    client = StoreClient(Address("127.0.0.1", int(line.rpartition(":")[2])), 5)
+    address = Address("127.0.0.1", int(line.rpartition(":")[2]))
+    client = StoreClient(address, 5)
     await client.start()
     assert await client.put("k", b"v", 0) == Stored(1)
+    faults = await asyncio.to_thread(
+        call_admin, address, "PUT", "/v1/faults", b'{"lose_answers": 1}'
+    )
+    assert faults == {"down": False, "delay_ms": 0, "lose_answers": 1, "fail_writes": 0}
+    assert isinstance(await client.put("k", b"w", 1), StoreFailed)
+    assert await client.get("k") == Found(b"w", 2)
+    stats = await asyncio.to_thread(call_admin, address, "GET", "/v1/stats")
+    assert stats["calls_by_kind"] == {"put": 2, "get": 1}
     await client.close()
     process.terminate()
     assert await process.wait() == 0
