Add the bench of table bytes and times

The design chooses a head record with deltas over the whole table under one key, and needs its bytes and the cost of a version on a node.

--- /dev/null
+++ b/bench/table_bytes.py
@@ -0,0 +1,254 @@
+"""Bytes and times of the table at the target size.
+
+Prints the bytes of a change for the layout under one key (a) and for the head record with deltas
+(c), and the time to validate, digest, apply and build, as slopes over rows and targets.
+
+Run it as ``python -m bench.table_bytes``.
+"""
+
+from __future__ import annotations
+
+import argparse
+import asyncio
+import logging
+import random
+import statistics
+import time
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass, replace
+
+import structlog
+
+from jaypost import layout, settings, table
+from jaypost.config import ConfigHolder, OfferDeltas, OfferTable
+from jaypost.records import (
+    Address,
+    Delta,
+    Destination,
+    PlacedTarget,
+    Row,
+    RowChange,
+    Spill,
+    Table,
+    Target,
+    TargetState,
+    TenantShare,
+)
+from jaypost.store import Found
+from jaypost.writers import MAX_DELTAS, Accepted, TableEdit, TableWriter
+from standins.store import DirectStore, StoreCore
+
+ROWS = 870
+TARGETS = 7_000
+CHANGES = 3_000
+REPEATS = 15
+SAMPLING = 10
+WORDS = ("orders", "stock", "packs", "guides", "plans", "deposits", "rooms", "quotes", "glass")
+TENANTS = ("landlords", "agents", "installers", "parishes", "hotels", "families", "glaziers")
+COMMENTS = ("raise limit before peak", "move traffic", "shorter timeout", "tenant share", "undo")
+
+
+@dataclass(frozen=True, slots=True)
+class LayoutBytes:
+    """Bytes that one reader receives for the changes, by layout and part."""
+
+    whole_tables: int
+    heads: int
+    longest_head: int
+    written: int
+
+
+def make_row(rng: random.Random, services: Sequence[str], number: int) -> Row:
+    """Return a row of which about half of the columns differ from their defaults."""
+    service = services[number]
+    others = rng.sample(services, rng.choice((0, 0, 0, 1, 2)))
+    weights = [Destination(other, rng.randint(1, 100)) for other in others if other != service]
+    prefixes = tuple(f"/{rng.choice(WORDS)}/{rng.choice(WORDS)}" for _ in range(rng.randint(0, 2)))
+    shares = rng.sample(TENANTS, rng.randint(0, 3))
+    return Row(
+        service,
+        destinations=(Destination(service, 100), *weights) if weights else (),
+        rate_limit=float(rng.choice((0, 0, rng.randint(50, 5_000)))),
+        concurrency_limit=rng.choice((0, 0, rng.randint(10, 2_000))),
+        queue_limit=rng.choice((64, 64, 16, 128)),
+        timeout_ms=rng.choice((10_000, 2_000, 30_000, rng.randint(500, 60_000))),
+        retry_limit=rng.choice((2, 2, 1, 3)),
+        retry_budget=rng.choice((0.1, 0.1, 0.05, 0.2)),
+        hedge_ms=rng.choice((0, 0, 0, rng.randint(20, 400))),
+        long_prefixes=tuple(dict.fromkeys(prefixes)),
+        tenant_shares=tuple(TenantShare(tenant, rng.randint(1, 10)) for tenant in shares),
+        spill=rng.choice((Spill.ANY, Spill.ANY, Spill.REGION)),
+    )
+
+
+def make_rows(count: int) -> dict[str, Row]:
+    """Return `count` rows with fixed seed."""
+    rng = random.Random(870)
+    services = [f"{rng.choice(WORDS)}-{rng.choice(WORDS)}-{n:03d}" for n in range(count)]
+    return {services[n]: make_row(rng, services, n) for n in range(count)}
+
+
+def edit_row(rng: random.Random, row: Row) -> Row:
+    """Return `row` with one other column value, as an operator would set it."""
+    return rng.choice(
+        (
+            replace(row, rate_limit=float(rng.randint(50, 5_000))),
+            replace(row, timeout_ms=rng.randint(500, 60_000), hedge_ms=0),
+            replace(row, concurrency_limit=rng.randint(10, 2_000)),
+            replace(row, queue_limit=rng.randint(1, 256)),
+            replace(row, tenant_shares=(TenantShare(rng.choice(TENANTS), rng.randint(1, 99)),)),
+        )
+    )
+
+
+async def measure_bytes(rows: int, changes: int, max_deltas: int) -> LayoutBytes:
+    """Make `changes` by the writer and count what a reader that watches the head receives.
+
+    The whole table is encoded at every tenth change only, and counted for ten.
+    """
+    rng = random.Random(3_000)
+    store = DirectStore(StoreCore())
+    writer = TableWriter(store, max_deltas=max_deltas)
+    rows_by_service = make_rows(rows)
+    services = sorted(rows_by_service)
+    base = table.EMPTY_TABLE
+    first = tuple(RowChange(service, rows_by_service[service]) for service in services)
+    await _change(writer, TableEdit(base, first), rng)
+    base = table.make_table(1, rows_by_service)
+    whole_tables, heads = 0, []
+    written_before = store.written_bytes
+    for number in range(changes):
+        # One change in five touches several rows.
+        touched = rng.sample(services, rng.choice((1, 1, 1, 1, 3)))
+        edits = tuple(RowChange(s, edit_row(rng, base.rows_by_service[s])) for s in touched)
+        await _change(writer, TableEdit(base, edits), rng)
+        base = table.make_table(base.version + 1, table.change_rows(base.rows_by_service, edits))
+        if number % SAMPLING == 0:
+            whole_tables += len(table.encode(base)) * SAMPLING
+        head = store.core.get(layout.HEAD_KEY)
+        assert isinstance(head, Found)
+        heads.append(len(head.value))
+    written = store.written_bytes - written_before
+    return LayoutBytes(whole_tables, sum(heads), max(heads), written)
+
+
+async def _change(writer: TableWriter, edit: TableEdit, rng: random.Random) -> None:
+    change_id = f"{rng.getrandbits(128):032x}"
+    outcome = await writer.change(edit, "abebe", rng.choice(COMMENTS), change_id)
+    assert isinstance(outcome, Accepted), outcome
+
+
+def make_targets(services: Sequence[str], count: int) -> dict[str, tuple[PlacedTarget, ...]]:
+    """Return `count` targets, each on a host of its own, spread over the services."""
+    targets_by_service: dict[str, list[PlacedTarget]] = {}
+    for number in range(count):
+        service = services[number % len(services)]
+        placed = PlacedTarget(
+            Target(f"t{number}", service, 9_000, 12, TargetState.READY),
+            f"n{number}",
+            f"domain-{number % 7}",
+            f"region-{number % 3}",
+            Address(f"10.{number >> 16}.{number >> 8 & 255}.{number & 255}", 7_601),
+        )
+        targets_by_service.setdefault(service, []).append(placed)
+    return {service: tuple(placed) for service, placed in targets_by_service.items()}
+
+
+def median_ms(action: Callable[[], object]) -> float:
+    """Return the median time of `action` in milliseconds."""
+    times = []
+    for _ in range(REPEATS):
+        started = time.perf_counter()
+        action()
+        times.append(time.perf_counter() - started)
+    return statistics.median(times) * 1_000
+
+
+def one_delta(base: Table) -> Delta:
+    """Return a delta that changes one row of `base`."""
+    service = min(base.rows_by_service)
+    change = RowChange(service, replace(base.rows_by_service[service], queue_limit=99))
+    rows = table.change_rows(base.rows_by_service, (change,))
+    version = base.version + 1
+    return Delta(version, "0" * 32, "abebe", 0, "", (change,), table.digest(rows))
+
+
+def new_holder(base: Table, targets: dict[str, tuple[PlacedTarget, ...]]) -> ConfigHolder:
+    """Return a holder that has `base` in force."""
+    environment = {
+        "JAYPOST_NODE_ID": "n1",
+        "JAYPOST_FAILURE_DOMAIN": "domain-1",
+        "JAYPOST_REGION": "region-1",
+        "JAYPOST_STORE": "127.0.0.1:7500",
+    }
+    loaded = settings.load(argparse.Namespace(), environment)
+    assert isinstance(loaded, settings.LoadedSettings)
+    holder = ConfigHolder(loaded.settings, "n1")
+    holder.targets_changed(targets)
+    holder.offer(OfferTable(base))
+    return holder
+
+
+def print_times(rows: int, targets: int) -> dict[str, float]:
+    """Print and return the times for a table and a fleet of the given sizes."""
+    rows_by_service = make_rows(rows)
+    base = table.make_table(1, rows_by_service)
+    delta = one_delta(base)
+    stored = table.encode(base)
+    placed = make_targets(sorted(rows_by_service), targets)
+    holders = iter([new_holder(base, placed) for _ in range(REPEATS)])
+    standing = new_holder(base, placed)
+    times = {
+        "validate": median_ms(lambda: table.validate(rows_by_service)),
+        "digest": median_ms(lambda: table.digest(rows_by_service)),
+        "decode": median_ms(lambda: table.decode(stored, Table)),
+        "apply_delta": median_ms(lambda: table.apply_delta(base, delta)),
+        "targets_changed": median_ms(lambda: standing.targets_changed(placed)),
+        "offer_delta": median_ms(lambda: next(holders).offer(OfferDeltas((delta,)))),
+    }
+    columns = " ".join(f"{name}_ms={value:.2f}" for name, value in times.items())
+    print(f"rows={rows} targets={targets} {columns}")
+    return times
+
+
+def print_slopes(unit: str, small: dict[str, float], large: dict[str, float], step: int) -> None:
+    """Print the microseconds that each further row or target adds."""
+    slopes = {name: (large[name] - small[name]) / step * 1_000 for name in small}
+    columns = " ".join(f"{name}={slope:.2f}" for name, slope in slopes.items())
+    print(f"slope=us_per_{unit} {columns}")
+
+
+def main() -> None:
+    """Print bytes and times."""
+    parser = argparse.ArgumentParser(description=__doc__.splitlines()[0])
+    parser.add_argument("--rows", type=int, default=ROWS)
+    parser.add_argument("--targets", type=int, default=TARGETS)
+    parser.add_argument("--changes", type=int, default=CHANGES)
+    parser.add_argument("--max-deltas", type=int, default=MAX_DELTAS)
+    arguments = parser.parse_args()
+    structlog.configure(wrapper_class=structlog.make_filtering_bound_logger(logging.WARNING))
+
+    measured = asyncio.run(measure_bytes(arguments.rows, arguments.changes, arguments.max_deltas))
+    per_change = arguments.changes
+    print(f"rows={arguments.rows} changes={arguments.changes} max_deltas={arguments.max_deltas}")
+    print(
+        f"layout=a_one_key bytes_per_change={measured.whole_tables / per_change:.0f} "
+        f"reader_day_mb={measured.whole_tables / 1e6:.2f}"
+    )
+    print(
+        f"layout=c_head_and_deltas bytes_per_change={measured.heads / per_change:.0f} "
+        f"reader_day_mb={measured.heads / 1e6:.2f} longest_head={measured.longest_head} "
+        f"written_day_mb={measured.written / 1e6:.2f}"
+    )
+    rows, targets = arguments.rows, arguments.targets
+    few_rows = print_times(rows // 4, targets)
+    print_times(rows // 2, targets)
+    whole = print_times(rows, targets)
+    print_times(rows, targets // 2)
+    few_targets = print_times(rows, targets // 4)
+    print_slopes("row", few_rows, whole, rows - rows // 4)
+    print_slopes("target", few_targets, whole, targets - targets // 4)
+
+
+if __name__ == "__main__":
+    main()
--- a/standins/store.py
+++ b/standins/store.py
@@ -21,7 +21,18 @@
 
 from jaypost.records import Address
 from jaypost.settings import parse_address
-from jaypost.store import Conflict, Found, LeaseHeld, LeaseLapsed, Missing, Stored, StoreEntry
+from jaypost.store import (
+    Conflict,
+    Effect,
+    Found,
+    LeaseHeld,
+    LeaseLapsed,
+    Missing,
+    Stored,
+    StoreEntry,
+    StoreFailed,
+    Unchanged,
+)
 
 MAX_VALUE_BYTES = 1 << 20
 LEASE_CHECK_S = 0.05
@@ -132,6 +143,39 @@
             self._lease_by_id[entry.lease_id].keys.discard(key)
 
 
+class DirectStore:
+    """The calls of the store that the table needs, on a `StoreCore` in the same process."""
+
+    def __init__(self, core: StoreCore) -> None:
+        self.core = core
+        self.written_bytes = 0
+
+    async def get(self, key: str) -> Found | Missing:
+        """Read a key."""
+        return self.core.get(key)
+
+    async def put(
+        self, key: str, value: bytes, if_revision: int | None, lease_id: str | None = None
+    ) -> Stored | Conflict | StoreFailed:
+        """Write a key if it is at `if_revision`."""
+        self.written_bytes += len(value)
+        outcome = self.core.put(key, value, if_revision, lease_id)
+        if isinstance(outcome, LeaseLapsed):
+            return StoreFailed("lease does not exist", Effect.NONE)
+        return outcome
+
+    async def delete(self, key: str, if_revision: int | None) -> Stored | Conflict | Missing:
+        """Delete a key if it is at `if_revision`."""
+        return self.core.delete(key, if_revision)
+
+    async def watch(self, key: str, after_revision: int, wait_s: float) -> Found | Unchanged:
+        """Return at once, without waiting for a change."""
+        found = self.core.get(key)
+        if isinstance(found, Found) and found.revision > after_revision:
+            return found
+        return Unchanged(found.revision)
+
+
 class Faults(msgspec.Struct, forbid_unknown_fields=True):
     """Faults in force.
 
