Connect metrics and events of the node to the daemon

Cause: the metrics of versions, ejections, loads and control bytes had no source, and decisions that other modules log were missing from `jaypost events`.

Change: the daemon sets them before each rendering; ConfigHolder reports versions that come into force, from which the convergence lag is computed; the event log observes the log lines.

--- a/jaypost/config.py
+++ b/jaypost/config.py
@@ -110,6 +110,8 @@
         Offers by the name of their outcome.
     on_news : Callable[[], None] or None
         Called when the held version rose.
+    on_in_force : Callable[[int], None] or None
+        Called with a version that came into force.
     """
 
     def __init__(self, settings: Settings, node_id: str) -> None:
@@ -126,6 +128,7 @@
         self.refused: RefusedVersion | None = None
         self.outcomes_by_kind: Counter[str] = Counter()
         self.on_news: Callable[[], None] | None = None
+        self.on_in_force: Callable[[int], None] | None = None
 
     @property
     def held_version(self) -> int:
@@ -220,6 +223,8 @@
         self._in_force = version
         self.floor = max(self.floor, version.version)
         log.info("version_in_force", node=self._node_id, version=version.version)
+        if self.on_in_force is not None:
+            self.on_in_force(version.version)
         return Applied(version.version)
 
     def targets_changed(self, targets_by_service: Mapping[str, tuple[PlacedTarget, ...]]) -> None:
--- a/jaypost/daemon.py
+++ b/jaypost/daemon.py
@@ -24,7 +24,7 @@
 from jaypost.announcements import Announcements, DrainAll
 from jaypost.calls import CallEnded
 from jaypost.claims import Claims
-from jaypost.config import ConfigHolder
+from jaypost.config import ConfigHolder, RefusedVersion, Stale
 from jaypost.egress import Egress
 from jaypost.events import EventLog
 from jaypost.explanations import Explanation, NodePlace, explain
@@ -80,16 +80,19 @@
     ----------
     node_settings : Settings
         Checked settings.
+    events : EventLog
+        Decisions of the node, which the log lines also feed.
     """
 
-    def __init__(self, node_settings: Settings) -> None:
+    def __init__(self, node_settings: Settings, events: EventLog) -> None:
         self.settings = node_settings
         rng = random.Random()
-        self.events = EventLog()
+        self.events = events
         self.metrics = Metrics(node_settings.label_limit)
         self.store = StoreClient(node_settings.store, node_settings.store_timeout_s)
         self.holder = ConfigHolder(node_settings, node_settings.node_id)
         self.holder.suspend()
+        self.holder.on_in_force = self._on_in_force
         self.announcements = Announcements(node_settings, self._on_targets, self.events)
         self.admin = AdminServer(node_settings, self, self.announcements, self.events, self.metrics)
         self.health = TargetHealth(node_settings.ramp_s)
@@ -101,7 +104,7 @@
             Admission(),
             FleetLimits(),
             self._snapshot,
-            self.metrics.execution_ended,
+            self.metrics.egress_call_ended,
         )
         self.ingress = Ingress(
             node_settings,
@@ -113,6 +116,7 @@
             self.egress,
         )
         self._rng = rng
+        self._counted_offers: Counter[str] = Counter()
         self._tasks: set[asyncio.Task[None]] = set()
         self._ready = False
         self._reason = "the node has not joined the fleet"
@@ -232,14 +236,34 @@
 
     def _update_metrics(self, metrics: Metrics) -> None:
         metrics.version_held(self.holder.held_version)
-        metrics.version_applied(self.holder.in_force_version, None)
         metrics.readiness_changed(self._ready)
         metrics.nodes_changed(Counter(record.state for record in self.view.records()))
         for key, count in self.gossip.byte_counts.items():
             metrics.control_bytes(key.kind, key.link, key.direction, count)
-        for target in self.announcements.targets:
-            load = self.egress.admission.load(target.target_id)
-            metrics.load_changed(target.service, load.busy, load.slots, load.queued)
+        metrics.loads_changed(
+            (target.service, self.egress.admission.load(target.target_id))
+            for target in self.announcements.targets
+        )
+        now = time.monotonic()
+        services = self.holder.snapshot.targets_by_service
+        metrics.ejections_changed(
+            {service: self.health.ejected(service, now) for service in services}
+        )
+        self._count_offers(metrics)
+
+    def _count_offers(self, metrics: Metrics) -> None:
+        outcomes = self.holder.outcomes_by_kind
+        new = outcomes - self._counted_offers
+        self._counted_offers = Counter(outcomes)
+        for _ in range(new[RefusedVersion.__name__]):
+            metrics.version_refused()
+        for _ in range(new[Stale.__name__]):
+            metrics.version_stale()
+
+    def _on_in_force(self, version: int) -> None:
+        newest = self.holder.deltas_since(version - 1)
+        lag_s = time.time() - newest[0].at_ms / 1000 if newest else None
+        self.metrics.version_applied(version, lag_s)
 
     def _snapshot(self) -> Snapshot:
         return self.holder.snapshot
@@ -252,7 +276,7 @@
         self.holder.targets_changed(self.view.targets_by_service(time.monotonic()))
 
     def _on_call_ended(self, call: CallEnded) -> None:
-        self.metrics.call_ended(call)
+        self.metrics.ingress_call_ended(call)
         if call.kind is not None:
             log.info(
                 "call_failed",
@@ -324,8 +348,8 @@
         self._leaving.set()
 
 
-async def _serve(node_settings: Settings) -> int:
-    node = Node(node_settings)
+async def _serve(node_settings: Settings, events: EventLog) -> int:
+    node = Node(node_settings, events)
     await node.start()
     return await node.run()
 
@@ -363,10 +387,11 @@
     if arguments.check_settings:
         print(settings.describe(loaded))
         sys.exit(0)
-    logs.setup(loaded.settings.log_level)
+    events = EventLog()
+    logs.setup(loaded.settings.log_level, observer=events.keep)
     raise_on_violation(loaded.settings.raise_on_violation)
     with contextlib.suppress(KeyboardInterrupt):
-        sys.exit(uvloop.run(_serve(loaded.settings)))
+        sys.exit(uvloop.run(_serve(loaded.settings, events)))
 
 
 if __name__ == "__main__":
