--- a/jaypost/metrics.py
+++ b/jaypost/metrics.py
@@ -171,7 +171,7 @@
             "invariant_violations_total", "Violations of rules that must always hold"
         )
 
-    def ingress_call_ended(self, call: EndedCall) -> None:
+    def call_ended(self, call: EndedCall) -> None:
         """Count a call that this node answered to its caller, its total time and its retries."""
         self._calls.inc(self._labels(service=call.service, kind=_kind_label(call.kind)))
         labels = self._labels(tenant=call.tenant, call_class=call.call_class)
@@ -179,7 +179,7 @@
         if call.attempts > 1:
             self._retries.add(self._labels(service=call.service), call.attempts - 1)
 
-    def egress_call_ended(self, call: EndedCall) -> None:
+    def execution_ended(self, call: EndedCall) -> None:
         """Count a call to a target of this host, and the times of those that were dispatched."""
         self._executions.inc(self._labels(service=call.service, kind=_kind_label(call.kind)))
         if call.run_state is RunState.NOT_RUN:
--- a/tests/test_metrics.py
+++ b/tests/test_metrics.py
@@ -41,8 +41,8 @@
     metrics = Metrics(limit)
     for number in range(2000):
         call = Call(f"s{number}", f"tenant-{number}", ErrorKind.NO_TARGET)
-        metrics.ingress_call_ended(call)
-        metrics.egress_call_ended(call)
+        metrics.call_ended(call)
+        metrics.execution_ended(call)
         metrics.control_bytes(f"kind{number}", "domain", "sent", 1)
     text = await rendered(metrics)
     for name in ("call_seconds", "queue_seconds", "service_seconds"):
@@ -74,28 +74,28 @@
 )
 async def test_label_values_keep_the_format_valid(tenant, label):
     metrics = Metrics(8)
-    metrics.ingress_call_ended(Call(tenant=tenant))
+    metrics.call_ended(Call(tenant=tenant))
     assert f'call_seconds_count{{call_class="short",tenant="{label}"}} 1' in await rendered(metrics)
 
 
 @pytest.mark.parametrize(
     ("record", "line"),
     [
-        (lambda m: m.ingress_call_ended(Call()), 'calls_total{kind="ok",service="orders"} 1'),
+        (lambda m: m.call_ended(Call()), 'calls_total{kind="ok",service="orders"} 1'),
         (
-            lambda m: m.ingress_call_ended(Call(kind=ErrorKind.QUEUE_FULL)),
+            lambda m: m.call_ended(Call(kind=ErrorKind.QUEUE_FULL)),
             'calls_total{kind="queue_full",service="orders"} 1',
         ),
         (
-            lambda m: m.ingress_call_ended(Call(attempts=3)),
+            lambda m: m.call_ended(Call(attempts=3)),
             'retries_total{service="orders"} 2',
         ),
         (
-            lambda m: m.egress_call_ended(Call()),
+            lambda m: m.execution_ended(Call()),
             'queue_seconds_count{call_class="short",tenant="a"} 1',
         ),
         (
-            lambda m: m.egress_call_ended(Call()),
+            lambda m: m.execution_ended(Call()),
             'service_seconds_bucket{call_class="short",le="0.25",tenant="a"} 1',
         ),
         (lambda m: m.version_applied(7, 1.5), "version_in_force 7"),
@@ -142,7 +142,7 @@
 
 async def test_refusals_that_were_not_run_have_no_service_time():
     metrics = Metrics(8)
-    metrics.egress_call_ended(Call(kind=ErrorKind.SLOTS_FULL, run_state=RunState.NOT_RUN))
+    metrics.execution_ended(Call(kind=ErrorKind.SLOTS_FULL, run_state=RunState.NOT_RUN))
     text = await rendered(metrics)
     assert 'executions_total{kind="slots_full",service="orders"} 1' in text
     assert "service_seconds_count" not in text
