--- a/jaypost/logs.py
+++ b/jaypost/logs.py
@@ -41,6 +41,7 @@
     SEED_MALFORMED = "seed_malformed"
     OWN_STAMP_RAISED = "own_stamp_raised"
     GOSSIP_TASK_FAILED = "gossip_task_failed"
+    CONTROL_REQUEST_FAILED = "control_request_failed"
     READER_STARTED = "reader_started"
     READER_STOPPED = "reader_stopped"
     READER_FAILED = "reader_failed"
