Report unreachable nodes and left-out log lines from the daemon

Cause: nobody recorded node_unreachable and node_reachable, the metric of nodes had no state "unreachable", and counts of rate-limited log lines were lost when no further line of the event came.

--- a/jaypost/daemon.py
+++ b/jaypost/daemon.py
@@ -50,6 +50,7 @@
 
 EXIT_USAGE = 2
 EXIT_DRAIN_TIMEOUT = 1
+LOG_FLUSH_INTERVAL_S = 10.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -104,7 +105,7 @@
             Admission(),
             FleetLimits(),
             self._snapshot,
-            self.metrics.egress_call_ended,
+            self.metrics.execution_ended,
         )
         self.ingress = Ingress(
             node_settings,
@@ -116,6 +117,7 @@
             self.egress,
         )
         self._rng = rng
+        self._unreachable_ids: frozenset[str] = frozenset()
         self._counted_offers: Counter[str] = Counter()
         self._tasks: set[asyncio.Task[None]] = set()
         self._ready = False
@@ -131,6 +133,7 @@
         await self.ingress.start()
         await self._start_membership(peer)
         self._spawn(self._become_ready())
+        self._spawn(self._flush_log_counts())
         self.metrics.add_source(self._update_metrics)
         self.events.record(EventName.NODE_STARTED, node=self.settings.node_id, process=os.getpid())
 
@@ -175,6 +178,7 @@
         done = await self._leave()
         await self.close()
         self.events.record(EventName.NODE_STOPPED, node=self.settings.node_id, drained=done)
+        logs.flush_left_out()
         return 0 if done else EXIT_DRAIN_TIMEOUT
 
     async def _leave(self) -> bool:
@@ -227,6 +231,11 @@
         version = self.holder.in_force_version
         self.events.record(EventName.NODE_READY, node=self.settings.node_id, version=version)
 
+    async def _flush_log_counts(self) -> None:
+        while True:
+            await asyncio.sleep(LOG_FLUSH_INTERVAL_S)
+            logs.flush_left_out()
+
     async def _bring_into_force(self) -> None:
         while True:
             replicated = await self.reader.bring_into_force()
@@ -237,7 +246,8 @@
     def _update_metrics(self, metrics: Metrics) -> None:
         metrics.version_held(self.holder.held_version)
         metrics.readiness_changed(self._ready)
-        metrics.nodes_changed(Counter(record.state for record in self.view.records()))
+        count_by_state = Counter(record.state.value for record in self.view.records())
+        metrics.nodes_changed(count_by_state | Counter(unreachable=len(self._unreachable_ids)))
         for key, count in self.gossip.byte_counts.items():
             metrics.control_bytes(key.kind, key.link, key.direction, count)
         metrics.loads_changed(
@@ -273,10 +283,16 @@
         self.gossip.publish(targets=targets)
 
     def _on_view_changed(self) -> None:
+        unreachable = self.view.unreachable_ids
+        for node_id in unreachable - self._unreachable_ids:
+            self.events.record(EventName.NODE_UNREACHABLE, node_id=node_id)
+        for node_id in self._unreachable_ids - unreachable:
+            self.events.record(EventName.NODE_REACHABLE, node_id=node_id)
+        self._unreachable_ids = unreachable
         self.holder.targets_changed(self.view.targets_by_service(time.monotonic()))
 
     def _on_call_ended(self, call: CallEnded) -> None:
-        self.metrics.ingress_call_ended(call)
+        self.metrics.call_ended(call)
         if call.kind is not None:
             log.info(
                 "call_failed",
--- a/jaypost/view.py
+++ b/jaypost/view.py
@@ -352,6 +352,11 @@
 
     # Reachability
 
+    @property
+    def unreachable_ids(self) -> frozenset[str]:
+        """Nodes that did not refute an accusation in time."""
+        return frozenset(self._unreachable)
+
     def is_reachable(self, node_id: str) -> bool:
         """Tell whether the node is known and is neither unreachable nor in a domain that is cut."""
         entry = self._entry_by_id.get(node_id)
