Recognise long work from its first overdue request

Cause: waiting for two overdue requests left a cold node open to long work for longer, and requests that are cancelled would have stayed on record.

Change: one request above 8 times the median marks its path prefix, five ended ones judge it again; LongWork.abandoned and a bound of 1024 keep the record of running requests small.

Without the bound, the removal or the overdue rule test_memory_is_bounded or test_long_work_is_recognised_while_it_runs fails.

--- a/jaypost/admission.py
+++ b/jaypost/admission.py
@@ -31,7 +31,7 @@
 LONG_FACTOR = 8.0
 STILL_LONG_FACTOR = 4.0
 PREFIX_SAMPLES = 5
-OVERDUE_REQUESTS = 2
+RUNNING_LIMIT = 1024
 PREFIX_GAIN = 1 / 16
 PREFIX_LIMIT = 64
 MEDIAN_WINDOW = 101
@@ -639,7 +639,17 @@
     def started(self, ticket: str, service: str, path: str, now: float) -> None:
         """Take the start of a request into account, so that long work shows before it ends."""
         durations = self._durations_by_service.setdefault(service, _ServiceDurations())
-        self._prefix(durations, path_prefix(path)).started_by_ticket[ticket] = now
+        running = self._prefix(durations, path_prefix(path)).started_by_ticket
+        running[ticket] = now
+        if len(running) > RUNNING_LIMIT:
+            del running[next(iter(running))]
+
+    def abandoned(self, ticket: str, service: str, path: str) -> None:
+        """Forget a request whose duration says nothing, because it was cancelled."""
+        durations = self._durations_by_service.get(service)
+        prefix = durations.prefix_by_path.get(path_prefix(path)) if durations else None
+        if prefix is not None:
+            prefix.started_by_ticket.pop(ticket, None)
 
     def observe(self, service: str, path: str, duration_s: float, ticket: str = "") -> None:
         """Take the duration of one request into account."""
@@ -664,8 +674,8 @@
         if len(durations.recent_s) < MEDIAN_INTERVAL:
             return False
         limit_s = LONG_FACTOR * durations.median_s
-        oldest = itertools.islice(prefix.started_by_ticket.values(), OVERDUE_REQUESTS)
-        return sum(now - started > limit_s for started in oldest) == OVERDUE_REQUESTS
+        oldest = next(iter(prefix.started_by_ticket.values()), now)
+        return now - oldest > limit_s
 
     @staticmethod
     def _learn_median(durations: _ServiceDurations, duration_s: float) -> None:
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -220,11 +220,16 @@
     for number in range(20):
         work.started(f"s{number}", "docs", "/stock/1", 0.0)
         work.observe("docs", "/stock/1", 0.02, f"s{number}")
-    work.started("l1", "docs", "/cartoons/1", 1.0)
-    work.started("l2", "docs", "/cartoons/2", 1.1)
-    assert work.classify(ROW, "/cartoons/3", 1.2) is CallClass.SHORT
-    assert work.classify(ROW, "/cartoons/3", 1.3) is CallClass.LONG
-    assert work.classify(ROW, "/stock/3", 1.3) is CallClass.SHORT
+    work.started("cancelled", "docs", "/plans/1", 1.0)
+    work.abandoned("cancelled", "docs", "/plans/1")
+    work.started("long", "docs", "/cartoons/1", 1.0)
+    assert work.classify(ROW, "/cartoons/3", 1.15) is CallClass.SHORT
+    assert work.classify(ROW, "/cartoons/3", 1.2) is CallClass.LONG
+    assert work.classify(ROW, "/plans/3", 1.2) is CallClass.SHORT
+    assert work.classify(ROW, "/stock/3", 1.2) is CallClass.SHORT
+    for _ in range(5):
+        work.observe("docs", "/cartoons/1", 0.02, "long")
+    assert work.classify(ROW, "/cartoons/3", 9.0) is CallClass.SHORT
 
 
 def test_memory_is_bounded_for_any_number_of_tenants_and_prefixes():
@@ -235,10 +240,13 @@
         built.handle(admit(f"x{number}", tenant=f"tenant{number}"))
         built.handle(Cancel(f"x{number}", 0.0))
         work.observe("docs", f"/p{number}", 0.01)
+        work.started(str(number), "docs", "/leak", 0.0)
     queue = built._queue_by_target["t1"]
     assert not queue._queue_by_tenant
     assert not built._waiting_by_ticket
-    assert len(work._durations_by_service["docs"].prefix_by_path) <= 64
+    prefixes = work._durations_by_service["docs"].prefix_by_path
+    assert len(prefixes) <= 64
+    assert len(prefixes["leak"].started_by_ticket) <= 1024
 
 
 def test_ticket_is_not_granted_twice():
