Compare latencies within a region only

Cause: the round trip of 30 ms between regions made healthy targets in another region stragglers, so they were ejected when requests had to spill.

Change: Observation.region; siblings are the targets of the same region, and the usual latency of a service is learnt from the own region.

Result: test_round_trip_to_another_region_makes_no_straggler failed before and passes now.

--- a/jaypost/health.py
+++ b/jaypost/health.py
@@ -60,6 +60,9 @@
         Monotonic time in seconds.
     long_work : bool
         Whether the request was long work, whose latency says nothing about the target.
+    region : str
+        Region of the target; latencies are compared within a region, because a round trip to
+        another one would make every target there a straggler.
     """
 
     target_id: str
@@ -69,6 +72,7 @@
     latency_s: float
     now: float
     long_work: bool = False
+    region: str = ""
 
 
 class _State(Enum):
@@ -94,6 +98,7 @@
     outstanding: int = 0
     started_since_answer: int = 0
     silent_since: float = 0.0
+    region: str = ""
 
 
 class TargetHealth:
@@ -201,6 +206,7 @@
     def _answered(self, record: _TargetRecord, observation: Observation) -> None:
         if observation.long_work:
             return
+        record.region = observation.region
         siblings_s = self._sibling_median(record)
         self._learn_latency(record, observation.latency_s, siblings_s)
         if siblings_s and self._is_straggler(record, observation, siblings_s):
@@ -229,7 +235,7 @@
         latencies_s = [
             sibling.latency_s
             for sibling in map(self._record_by_id.__getitem__, self._ids_by_service[record.service])
-            if sibling is not record and sibling.samples
+            if sibling is not record and sibling.samples and sibling.region == record.region
         ]
         return statistics.median(latencies_s) if latencies_s else 0.0
 
--- a/jaypost/placement.py
+++ b/jaypost/placement.py
@@ -498,10 +498,10 @@
         load.inflight = max(0, load.inflight - 1)
         load.inflight_at_hint = min(load.inflight_at_hint, load.inflight)
         refused = event.kind in FULL_KINDS
+        load.tier = self._tier(event.target)
         if event.load is not None:
             load.utilisation = (event.load.busy + event.load.queued) / max(1, event.load.slots)
             load.queued = event.load.queued
-            load.tier = self._tier(event.target)
             load.hint_at, load.inflight_at_hint = event.now, load.inflight
         if event.kind in QUEUE_REFUSALS:
             load.queue_refused_at = event.now
@@ -523,6 +523,7 @@
                 event.latency_s,
                 event.now,
                 event.long_work,
+                event.target.region,
             )
         )
 
@@ -535,6 +536,7 @@
             # The slot of an answered request is free again when its load is reported.
             full = refused or hint.busy >= hint.slots
             state.crowding(load.tier).learn(load, full, event.now)
-        if event.kind is None and not event.long_work:
+        near = load.tier < REMOTE_TIER or not state.latency_s
+        if event.kind is None and not event.long_work and near:
             gain = LATENCY_GAIN if state.latency_s else 1.0
             state.latency_s += gain * (event.latency_s - state.latency_s)
--- a/tests/test_health.py
+++ b/tests/test_health.py
@@ -103,6 +103,18 @@
     assert all(health.weight(target_id, 4.0) == 1.0 for target_id in IDS)
 
 
+def test_round_trip_to_another_region_makes_no_straggler():
+    health = listed()
+    for _ in range(10):
+        for target_id, latency_s in zip(IDS, [0.01, 0.01, 0.07, 0.07], strict=True):
+            region = "near" if latency_s < 0.05 else "far"
+            observe(health, target_id, 1.0, latency_s=latency_s, region=region)
+    assert all(health.weight(target_id, 1.0) == 1.0 for target_id in IDS)
+    for _ in range(5):
+        observe(health, "t3", 1.0, latency_s=0.35, region="far")
+    assert health.weight("t3", 1.0) == 0.0
+
+
 def test_target_that_goes_silent_is_ejected_without_an_answer():
     health = listed()
     answer_all(health, 1.0)
