Test racing operators over the network with lost and failed writes

Ten writers on connections of their own now change one table while 5 answers are lost and 5 writes fail. With compare-and-swap removed the test failed.

--- a/tests/test_writers.py
+++ b/tests/test_writers.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import enum
 import random
 import types
@@ -15,8 +16,8 @@
 from hypothesis.stateful import RuleBasedStateMachine, invariant, precondition, rule
 
 from jaypost import layout, table, writers
-from jaypost.records import Destination, Row, RowChange, Table
-from jaypost.store import Effect, StoreFailed
+from jaypost.records import Address, Destination, Row, RowChange, Table
+from jaypost.store import Effect, StoreClient, StoreFailed
 from jaypost.writers import (
     Accepted,
     ChangeAbsent,
@@ -28,7 +29,7 @@
     TableWriter,
     Undecided,
 )
-from standins.store import StoreCore
+from standins.store import Faults, StoreCore, StoreServer
 
 
 class Fate(enum.Enum):
@@ -290,6 +291,27 @@
     assert isinstance(await writer.history(1), StoreFailed)
 
 
+async def test_racing_operators_over_the_network_lose_no_change():
+    server = StoreServer(Address("127.0.0.1", 0))
+    await server.start()
+    await server.set_faults(Faults(lose_answers=5, fail_writes=5))
+    clients = [StoreClient(server.address, 5) for _ in range(10)]
+
+    async def operate(number, client):
+        await client.start()
+        writer = TableWriter(client, sleep=lambda _: asyncio.sleep(0.01), max_deltas=3)
+        row = Row(f"s{number}")
+        return await set_rows(writer, f"id{number}", row, base=table.EMPTY_TABLE)
+
+    outcomes = await asyncio.gather(*(operate(*item) for item in enumerate(clients)))
+    left = await TableWriter(clients[0]).read()
+    for client in clients:
+        await client.close()
+    await server.close()
+    assert sorted(outcome.version for outcome in outcomes) == list(range(1, 11))
+    assert set(left.rows_by_service) == {f"s{number}" for number in range(10)}
+
+
 @types.coroutine
 def suspend(call):
     return (yield call)
