Bound the connections of the store client

A trial with 200 reads at once took 1.04 s: the connections overflowed the listen queue of the store. The new test failed with the bound removed.

--- a/jaypost/store.py
+++ b/jaypost/store.py
@@ -21,7 +21,9 @@
 
 log = structlog.get_logger(__name__)
 
-MAX_IDLE_CONNECTIONS = 8
+# 200 connections at once overflowed the listen queue of the store, and some took 1 s to open.
+# A watch has a connection of its own on top.
+MAX_CONNECTIONS = 16
 # A listing of 7,000 small values fits; a larger body is a fault of the store.
 MAX_BODY_BYTES = 32 << 20
 READ_BYTES = 64 << 10
@@ -232,6 +234,7 @@
         self._idle: list[_Connection] = []
         self._busy: set[_Connection] = set()
         self._running = False
+        self._slots = asyncio.Semaphore(MAX_CONNECTIONS)
         self.sent_bytes = 0
         self.received_bytes = 0
 
@@ -378,7 +381,10 @@
             return call.failed("client is closed")
         try:
             async with asyncio.timeout(self._timeout_s + call.wait_s):
-                return await self._exchange(call)
+                if call.wait_s:
+                    return await self._exchange(call)
+                async with self._slots:
+                    return await self._exchange(call)
         except TimeoutError:
             # Pooled connections of a silent path are all silent; new ones may work.
             self._close_idle()
@@ -418,7 +424,7 @@
         self._idle.clear()
 
     def _give_back(self, connection: _Connection) -> None:
-        if self._running and connection.reusable() and len(self._idle) < MAX_IDLE_CONNECTIONS:
+        if self._running and connection.reusable() and len(self._idle) < MAX_CONNECTIONS:
             connection.protocol.start_next_cycle()
             self._idle.append(connection)
         else:
--- a/standins/store.py
+++ b/standins/store.py
@@ -232,6 +232,7 @@
         self.calls_by_kind: Counter[str] = Counter()
         self.sent_bytes = 0
         self.received_bytes = 0
+        self.connections_accepted = 0
         self._listen = listen
         self._server: asyncio.Server | None = None
         self._connections: set[asyncio.Task[None]] = set()
@@ -287,6 +288,7 @@
         task = asyncio.current_task()
         assert task is not None
         self._connections.add(task)
+        self.connections_accepted += 1
         try:
             await self._serve(reader, writer)
         except (OSError, h11.ProtocolError, asyncio.CancelledError):
--- a/tests/test_store.py
+++ b/tests/test_store.py
@@ -127,6 +127,14 @@
     assert isinstance(closed, StoreFailed) and closed.effect is Effect.NONE
 
 
+async def test_burst_of_calls_opens_a_bounded_number_of_connections():
+    async with running() as (server, client):
+        await server.set_faults(Faults(delay_ms=20))
+        outcomes = await asyncio.gather(*(client.get("k") for _ in range(100)))
+        assert set(outcomes) == {Missing()}
+        assert server.connections_accepted <= 16
+
+
 async def test_watch_ends_when_the_store_goes_down():
     async with running() as (server, client):
         watch = asyncio.create_task(client.watch("k", 0, 60))
