Check only the last digest of an offered chain of deltas

An offer of 32 deltas at 870 rows held up the event loop of the node for 66 to 105 ms, most of it for digests of versions that never come into force. The earlier versions are built and validated only when the newest one is invalid.

--- a/jaypost/config.py
+++ b/jaypost/config.py
@@ -7,7 +7,7 @@
 from __future__ import annotations
 
 from collections import Counter, deque
-from collections.abc import Mapping
+from collections.abc import Mapping, Sequence
 from dataclasses import dataclass
 from functools import singledispatchmethod
 
@@ -219,14 +219,16 @@
             return Stale(self.held_version)
         if newer != list(range(self.held_version + 1, self.held_version + 1 + len(newer))):
             return Gap(self.held_version)
-        chain = [self._held]
-        for version in newer:
-            applied = table.apply_delta(chain[-1], delta_by_version[version])
-            if isinstance(applied, table.DeltaRefused):
-                return _damaged(version, applied.reason)
-            chain.append(applied)
-        self._deltas.extend(delta_by_version[version] for version in newer)
-        return self._hold(chain[1:])
+        deltas = [delta_by_version[version] for version in newer]
+        base = self._held
+        newest = table.apply_deltas(base, deltas)
+        if isinstance(newest, table.DeltaRefused):
+            return _damaged(newest.version, newest.reason)
+        self._deltas.extend(deltas)
+        outcome = self._hold(newest)
+        if isinstance(outcome, RefusedVersion):
+            self._valid = _newest_valid(base, deltas[:-1]) or self._valid
+        return outcome
 
     @_take.register
     def _(self, message: OfferTable) -> Held | Stale | Gap | RefusedVersion:
@@ -236,20 +238,18 @@
         if table.digest(offered.rows_by_service) != offered.digest:
             return _damaged(offered.version, "digest does not match the rows")
         self._deltas.clear()
-        return self._hold([offered])
+        return self._hold(offered)
 
-    def _hold(self, chain: list[Table]) -> Held | RefusedVersion:
-        """Hold the newest of consecutive versions and remember the newest valid one."""
-        self._held = chain[-1]
+    def _hold(self, newest: Table) -> Held | RefusedVersion:
+        """Hold a version, and remember it as the next one in force if it is valid."""
+        self._held = newest
         self.refused = None
-        for version in reversed(chain):
-            problems = table.validate(version.rows_by_service)
-            if not problems:
-                self._valid = version
-                break
-            if version is self._held:
-                self.refused = RefusedVersion(version.version, problems)
-        return self.refused or Held(self._held.version)
+        problems = table.validate(newest.rows_by_service)
+        if problems:
+            self.refused = RefusedVersion(newest.version, problems)
+            return self.refused
+        self._valid = newest
+        return Held(newest.version)
 
     def _may_come_into_force(self, version: Table) -> bool:
         return invariants.check(
@@ -281,6 +281,19 @@
     return max((delta.version for delta in message.deltas), default=0)
 
 
+def _newest_valid(base: Table, deltas: Sequence[Delta]) -> Table | None:
+    """Return the newest valid version that `deltas` lead to, if there is one."""
+    newest = None
+    for delta in deltas:
+        applied = table.apply_delta(base, delta)
+        if isinstance(applied, table.DeltaRefused):
+            break
+        base = applied
+        if not table.validate(base.rows_by_service):
+            newest = base
+    return newest
+
+
 def _damaged(version: int, reason: str) -> RefusedVersion:
     return RefusedVersion(version, (RowProblem("", "", reason),))
 
