Replicate only the versions that the reader took from the store

Since a pending version is replicated after the role ends, each node that held a refused version or one below its floor would have pushed it to two nodes.

--- a/jaypost/readers.py
+++ b/jaypost/readers.py
@@ -102,6 +102,7 @@
         self._clock = clock
         self._task: asyncio.Task[None] | None = None
         self._revision = 0
+        self._taken_version = 0
         self._replicated_version = 0
         self._retry_at: float | None = None
         self._delay_s = settings.store_backoff_min_s
@@ -175,8 +176,7 @@
             await self._back_off()
 
     def _needs_replication(self) -> bool:
-        held = self._holder.held_version
-        return held > max(self._replicated_version, self._holder.in_force_version)
+        return self._taken_version > max(self._replicated_version, self._holder.in_force_version)
 
     async def _bring_into_force(self) -> bool:
         """Replicate the held version and activate it; false when no other node has it."""
@@ -220,6 +220,7 @@
         if isinstance(head, table.Undecodable):
             return self._refuse(found.revision, f"{layout.HEAD_KEY} is damaged: {head.reason}")
         failure = await self._offer(head)
+        self._taken_version = self._holder.held_version
         if isinstance(failure, layout.Damaged):
             return self._refuse(found.revision, failure.reason)
         if failure is not None:
--- a/tests/test_readers.py
+++ b/tests/test_readers.py
@@ -250,6 +250,24 @@
     assert 5 <= store.gets <= 11
 
 
+async def test_node_that_is_no_reader_neither_watches_nor_replicates():
+    store, checks, enough = FixedStore(Unchanged(0)), [], asyncio.Event()
+
+    async def sleep(delay_s):
+        checks.append(delay_s)
+        if len(checks) >= 5:
+            enough.set()
+        await asyncio.sleep(0)
+
+    node = Node(store, reading=False, sleep=sleep)
+    node.holder.offer(OfferTable(TABLES[2]), activate=False)
+    node.reader.start()
+    async with asyncio.timeout(20):
+        await enough.wait()
+    await node.reader.close()
+    assert store.watches == 0 and node.replicated == []
+
+
 async def test_good_version_follows_a_damaged_one():
     good = table.encode(Head(2, TABLES[2].digest, 2, ()))
     store = FixedStore(Found(b"x", 7), {layout.snapshot_key(2): table.encode(TABLES[2])})
