Index the targets of each service by node, so that a rebuild is linear

Building the targets of a service scanned every target of each of its nodes.

The bench publishes versions from one node, because a node that lacked the previous version broke the chain and the changes after it cost nothing.

--- a/bench/membership.py
+++ b/bench/membership.py
@@ -351,7 +351,8 @@
     count = 0
     while time.monotonic() - began < CHANGING_S:
         number = count % fleet.node_count
-        fleet.ask(number, "version", (number, VERSION_COUNT + 1 + count))
+        # Always from the same node, which holds every earlier version.
+        fleet.ask(0, "version", (0, VERSION_COUNT + 1 + count))
         fleet.ask(number, "targets", number)
         count += 1
         time.sleep(max(0.0, began + count * interval_s - time.monotonic()))
--- a/jaypost/view.py
+++ b/jaypost/view.py
@@ -171,7 +171,7 @@
         self._left_at_by_id: dict[str, float] = {}
         self._tombstone_by_id: dict[str, _Tombstone] = {}
         self._cut_since_by_domain: dict[str, float] = {}
-        self._ids_by_service: dict[str, set[str]] = {}
+        self._targets_by_id_by_service: dict[str, dict[str, tuple[Target, ...]]] = {}
         self._placed_by_service: dict[str, tuple[PlacedTarget, ...]] = {}
         self._stale_services: set[str] = set()
         self._shown: Mapping[str, tuple[PlacedTarget, ...]] = MappingProxyType({})
@@ -312,7 +312,8 @@
         self._ids_by_domain.setdefault(record.failure_domain, _IdList()).add(record.node_id)
         self._region_by_domain[record.failure_domain] = record.region
         for target in _shown_targets(record):
-            self._ids_by_service.setdefault(target.service, set()).add(record.node_id)
+            targets_by_id = self._targets_by_id_by_service.setdefault(target.service, {})
+            targets_by_id[record.node_id] = (*targets_by_id.get(record.node_id, ()), target)
 
     def _remove_from_indexes(self, entry: _Entry) -> None:
         record = entry.record
@@ -321,7 +322,7 @@
         self._ids_by_domain[record.failure_domain].remove(record.node_id)
         self._readers_by_domain.pop(record.failure_domain, None)
         for target in _shown_targets(record):
-            self._ids_by_service[target.service].discard(record.node_id)
+            self._targets_by_id_by_service[target.service].pop(record.node_id, None)
             self._stale_services.add(target.service)
 
     def _flip_hash(self, entry: _Entry) -> None:
@@ -661,26 +662,26 @@
                 self._placed_by_service[service] = placed
             else:
                 self._placed_by_service.pop(service, None)
-                self._ids_by_service.pop(service, None)
+                self._targets_by_id_by_service.pop(service, None)
         self._stale_services.clear()
         self._shown = MappingProxyType(dict(self._placed_by_service))
         return self._shown
 
     def _place(self, service: str) -> tuple[PlacedTarget, ...]:
+        targets_by_id = self._targets_by_id_by_service.get(service, {})
         placed = []
-        for node_id in sorted(self._ids_by_service.get(service, ())):
+        for node_id in sorted(targets_by_id):
             record = self._entry_by_id[node_id].record
             reachable = self.is_reachable(node_id)
-            for target in _shown_targets(record):
-                if target.service == service:
-                    placed.append(
-                        PlacedTarget(
-                            target,
-                            node_id,
-                            record.failure_domain,
-                            record.region,
-                            record.peer_address,
-                            reachable,
-                        )
+            for target in targets_by_id[node_id]:
+                placed.append(
+                    PlacedTarget(
+                        target,
+                        node_id,
+                        record.failure_domain,
+                        record.region,
+                        record.peer_address,
+                        reachable,
                     )
+                )
         return tuple(placed)
