Use the store's outcome types in claims

Cause: claims was written before the store client and told outcomes apart by the names of their classes, which no type checker follows.

Change: claims and its tests use the classes of jaypost/store.py.

Result: type checker clean; the 23 tests of claims pass unchanged in what they assert.

--- a/jaypost/claims.py
+++ b/jaypost/claims.py
@@ -7,10 +7,23 @@
 import random
 from collections import OrderedDict
 from dataclasses import dataclass
-from typing import Protocol, cast
+from typing import Protocol
 
 import msgspec
 
+from jaypost.store import (
+    Conflict,
+    DeleteOutcome,
+    Effect,
+    Found,
+    GetOutcome,
+    GrantOutcome,
+    Missing,
+    PutOutcome,
+    Stored,
+    StoreFailed,
+)
+
 CLAIM_LEASE_S = 24 * 3600.0
 # Claims of one node made within this time share a lease, so that a claim costs one write. A claim
 # then lives between 24 and 25 hours, and the claims of one lease expire together.
@@ -62,39 +75,25 @@
 
 
 class ClaimStore(Protocol):
-    """The calls of `StoreClient` that claims use; outcomes are those of the store module."""
+    """The calls of `StoreClient` that claims use."""
 
-    async def get(self, key: str) -> object:
-        """Return Found, Missing or StoreFailed."""
+    async def get(self, key: str) -> GetOutcome:
+        """Read a key."""
+        ...
 
     async def put(
-        self, key: str, value: bytes, if_revision: int, lease_id: str | None = None
-    ) -> object:
-        """Return Stored, Conflict or StoreFailed; revision 0 creates only."""
-
-    async def delete(self, key: str, if_revision: int) -> object:
-        """Return Stored, Conflict, Missing or StoreFailed."""
-
-    async def grant_lease(self, ttl_s: float) -> object:
-        """Return an outcome with a lease_id, or StoreFailed."""
+        self, key: str, value: bytes, if_revision: int | None, lease_id: str | None = None
+    ) -> PutOutcome:
+        """Write a key if it is at `if_revision`; 0 creates only."""
+        ...
 
+    async def delete(self, key: str, if_revision: int | None) -> DeleteOutcome:
+        """Delete a key if it is at `if_revision`."""
+        ...
 
-class _Found(Protocol):
-    value: bytes
-    revision: int
-
-
-class _Stored(Protocol):
-    revision: int
-
-
-class _StoreFailed(Protocol):
-    reason: str
-    effect: str
-
-
-class _LeaseGranted(Protocol):
-    lease_id: str
+    async def grant_lease(self, ttl_s: float) -> GrantOutcome:
+        """Create a lease."""
+        ...
 
 
 @dataclass(frozen=True, slots=True)
@@ -117,10 +116,6 @@
     return f"claims/{service}/{hashlib.sha256(key.encode()).hexdigest()[:32]}"
 
 
-def _outcome(outcome: object) -> str:
-    return type(outcome).__name__
-
-
 class Claims:
     """Claims keys for the requests of this node.
 
@@ -168,7 +163,7 @@
             return
         value = msgspec.json.encode(ClaimRecord(held.record.token, request_id, status))
         outcome = await self._store.put(store_key, value, held.revision, held.lease_id)
-        if _outcome(outcome) == "StoreFailed":
+        if isinstance(outcome, StoreFailed):
             await self._store.put(store_key, value, held.revision, held.lease_id)
 
     async def withdraw(self, service: str, key: str, request_id: str) -> None:
@@ -178,19 +173,18 @@
         if held is None:
             return
         outcome = await self._store.delete(store_key, held.revision)
-        if _outcome(outcome) == "StoreFailed":
+        if isinstance(outcome, StoreFailed):
             self._remember_unsettled(store_key, held.record)
 
     async def settle(self) -> None:
         """Withdraw claims of requests that were not run and whose withdrawal is not confirmed."""
         for store_key, record in list(self._unsettled_by_key.items()):
             found = await self._store.get(store_key)
-            if _outcome(found) == "StoreFailed":
+            if isinstance(found, StoreFailed):
                 return
-            if self._is_own(found, record):
-                revision = cast(_Found, found).revision
-                outcome = await self._store.delete(store_key, revision)
-                if _outcome(outcome) == "StoreFailed":
+            if isinstance(found, Found) and self._is_own(found, record):
+                outcome = await self._store.delete(store_key, found.revision)
+                if isinstance(outcome, StoreFailed):
                     return
             self._unsettled_by_key.pop(store_key, None)
 
@@ -209,10 +203,9 @@
             if self._lease is not None and now < self._lease.shared_until:
                 return self._lease
             outcome = await self._store.grant_lease(CLAIM_LEASE_S + LEASE_SHARED_S)
-            if _outcome(outcome) == "StoreFailed":
-                return ClaimUnavailable(f"no lease: {cast(_StoreFailed, outcome).reason}")
-            lease_id = cast(_LeaseGranted, outcome).lease_id
-            self._lease = _Lease(lease_id, now + LEASE_SHARED_S - DISPATCH_WINDOW_S)
+            if isinstance(outcome, StoreFailed):
+                return ClaimUnavailable(f"no lease: {outcome.reason}")
+            self._lease = _Lease(outcome.lease_id, now + LEASE_SHARED_S - DISPATCH_WINDOW_S)
             return self._lease
 
     async def _create(
@@ -220,44 +213,38 @@
     ) -> _Held | Duplicate | ClaimUnavailable:
         value = msgspec.json.encode(record)
         put = await self._store.put(store_key, value, 0, lease_id)
-        if _outcome(put) == "StoreFailed":
-            failed = cast(_StoreFailed, put)
-            if str(failed.effect) != "unknown":
+        if isinstance(put, StoreFailed):
+            if put.effect is not Effect.UNKNOWN:
                 # The lease may be the cause, for instance when the store lost it.
                 self._lease = None
-                return ClaimUnavailable(failed.reason)
+                return ClaimUnavailable(put.reason)
             # Writing again is safe, because at most one of the two writes can create the key. It
             # also settles a first write that is still on its way.
             put = await self._store.put(store_key, value, 0, lease_id)
-        match _outcome(put):
-            case "Stored":
-                return _Held(record, cast(_Stored, put).revision, lease_id)
-            case "Conflict":
-                return await self._read_back(store_key, record, lease_id)
+        if isinstance(put, Stored):
+            return _Held(record, put.revision, lease_id)
+        if isinstance(put, Conflict):
+            return await self._read_back(store_key, record, lease_id)
         self._remember_unsettled(store_key, record)
-        return ClaimUnavailable(cast(_StoreFailed, put).reason)
+        return ClaimUnavailable(put.reason)
 
     async def _read_back(
         self, store_key: str, record: ClaimRecord, lease_id: str
     ) -> _Held | Duplicate | ClaimUnavailable:
         found = await self._store.get(store_key)
-        match _outcome(found):
-            case "Found":
-                if self._is_own(found, record):
-                    return _Held(record, cast(_Found, found).revision, lease_id)
-                owner = msgspec.json.decode(cast(_Found, found).value, type=ClaimRecord)
-                return Duplicate(owner.request_id, owner.status)
-            case "Missing":
-                return ClaimUnavailable("the claim of another request was just withdrawn")
-        self._remember_unsettled(store_key, record)
-        return ClaimUnavailable(cast(_StoreFailed, found).reason)
+        if isinstance(found, Missing):
+            return ClaimUnavailable("the claim of another request was just withdrawn")
+        if isinstance(found, StoreFailed):
+            self._remember_unsettled(store_key, record)
+            return ClaimUnavailable(found.reason)
+        if self._is_own(found, record):
+            return _Held(record, found.revision, lease_id)
+        owner = msgspec.json.decode(found.value, type=ClaimRecord)
+        return Duplicate(owner.request_id, owner.status)
 
     @staticmethod
-    def _is_own(found: object, record: ClaimRecord) -> bool:
-        if _outcome(found) != "Found":
-            return False
-        value = msgspec.json.decode(cast(_Found, found).value, type=ClaimRecord)
-        return value.token == record.token
+    def _is_own(found: Found, record: ClaimRecord) -> bool:
+        return msgspec.json.decode(found.value, type=ClaimRecord).token == record.token
 
     def _remember(self, store_key: str, request_id: str, held: _Held) -> None:
         self._held_by_key[(store_key, request_id)] = held
--- a/tests/test_claims.py
+++ b/tests/test_claims.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import random
-from dataclasses import make_dataclass
 
 import pytest
 from hypothesis import settings as hypothesis_settings
@@ -12,18 +11,19 @@
 from hypothesis.stateful import RuleBasedStateMachine, rule
 
 from jaypost.claims import CLAIM_LEASE_S, Claimed, Claims, ClaimUnavailable, Duplicate
+from jaypost.store import (
+    Conflict,
+    Effect,
+    Found,
+    LeaseGranted,
+    Missing,
+    Stored,
+    StoreFailed,
+)
 
 DAY_S = 86_400.0
 
 
-Found = make_dataclass("Found", ["value", "revision"])
-Missing = make_dataclass("Missing", ["revision"])
-Stored = make_dataclass("Stored", ["revision"])
-Conflict = make_dataclass("Conflict", ["revision"])
-StoreFailed = make_dataclass("StoreFailed", ["reason", "effect"])
-LeaseGranted = make_dataclass("LeaseGranted", ["lease_id"])
-
-
 class _Pause:
     def __await__(self):
         yield
@@ -48,11 +48,11 @@
         self.calls.append(name)
         fault = self.faults.pop(0) if self.faults else "none"
         if fault == "away":
-            return StoreFailed("away", "none")
+            return StoreFailed("away", Effect.NONE)
         if fault == "delayed":
             self.delayed.append(action)
         outcome = action() if fault in ("none", "answer lost") else None
-        return outcome if fault == "none" else StoreFailed("timed out", "unknown")
+        return outcome if fault == "none" else StoreFailed("timed out", Effect.UNKNOWN)
 
     def _read(self, key):
         entry = self.entry_by_key.get(key)
@@ -63,7 +63,7 @@
 
     def _write(self, key, value, if_revision, lease_id):
         if self.expiry_by_lease.get(lease_id, 0.0) <= self.now:
-            return StoreFailed("lease expired", "none")
+            return StoreFailed("lease expired", Effect.NONE)
         entry = self._read(key)
         if (entry[1] if entry else 0) != if_revision:
             return Conflict(entry[1] if entry else 0)
