--- /dev/null
+++ b/tests/test_seeds.py
@@ -0,0 +1,69 @@
+"""Seeds in the store, kept under a lease."""
+
+from __future__ import annotations
+
+from types import SimpleNamespace as Outcome
+
+from jaypost.records import Address
+from jaypost.seeds import Seed, StoreSeeds
+
+ADDRESS = Address("127.0.0.1", 7602)
+OUTAGE = Outcome(reason="timed out", effect="unknown")
+
+
+class FakeStore:
+    """A store whose lease and availability the test controls."""
+
+    def __init__(self) -> None:
+        self.value_by_key: dict[str, bytes] = {}
+        self.leases: set[int] = set()
+        self.granted = 0
+        self.available = True
+
+    async def put(self, key, value, if_revision, lease_id=None):
+        if self.available:
+            self.value_by_key[key] = value
+        return Outcome(revision=1) if self.available else OUTAGE
+
+    async def delete(self, key, if_revision):
+        self.value_by_key.pop(key, None)
+
+    async def list(self, prefix):
+        entries = [Outcome(key=key, value=value) for key, value in self.value_by_key.items()]
+        return Outcome(entries=entries) if self.available else OUTAGE
+
+    async def grant_lease(self, ttl_s):
+        self.granted += self.available
+        self.leases.add(self.granted)
+        return Outcome(lease_id=self.granted) if self.available else OUTAGE
+
+    async def renew_lease(self, lease_id):
+        if not self.available:
+            return OUTAGE
+        return Outcome(lease_id=lease_id) if lease_id in self.leases else Outcome(revision=1)
+
+
+async def test_seed_is_kept_renewed_and_withdrawn() -> None:
+    """Guards against a reader whose seed vanishes with its lease, and one left by a leaver."""
+    store = FakeStore()
+    seeds = StoreSeeds(store, "d1", "node")
+    assert await seeds.keep(ADDRESS) and await seeds.keep(ADDRESS)
+    assert store.granted == 1 and await seeds.read() == (Seed("d1", ADDRESS),)
+    store.value_by_key.clear()
+    store.leases.clear()
+    assert await seeds.keep(ADDRESS) and store.granted == 2
+    assert await seeds.read() == (Seed("d1", ADDRESS),)
+    await seeds.withdraw()
+    assert store.value_by_key == {}
+
+
+async def test_outage_and_malformed_seeds() -> None:
+    """Guards against an outage that looks like an empty list, which makes a node a founder."""
+    store = FakeStore()
+    seeds = StoreSeeds(store, "d1", "node")
+    store.value_by_key["seeds/d1/other"] = b"nonsense"
+    assert await seeds.read() == ()
+    store.available = False
+    assert await seeds.read() is None and not await seeds.keep(ADDRESS)
+    store.available = True
+    assert await seeds.keep(ADDRESS)
