Renew the lease of a seed instead of granting a new one each time

Cause: seeds.py told the outcomes of the store apart by their attributes, and took an answer without lease_id for a lapsed lease; the answer of the real client to a renewal has none. Each renewal therefore cost three calls, two of them writes. The fake of the test had the attribute, so the test passed.

Change: seeds.py and its test use the outcome classes of jaypost/store.py.

--- a/jaypost/seeds.py
+++ b/jaypost/seeds.py
@@ -3,12 +3,24 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
-from typing import Any, Protocol, runtime_checkable
+from typing import Protocol
 
 import structlog
 
 from jaypost.records import Address
 from jaypost.settings import parse_address
+from jaypost.store import (
+    DeleteOutcome,
+    GrantOutcome,
+    LeaseGranted,
+    LeaseHeld,
+    Listed,
+    ListOutcome,
+    PutOutcome,
+    RenewOutcome,
+    Stored,
+    StoreFailed,
+)
 
 log = structlog.get_logger(__name__)
 
@@ -17,40 +29,29 @@
 
 
 class SeedStore(Protocol):
-    """The methods of `StoreClient` that this module uses."""
+    """The calls of `StoreClient` that this module uses."""
 
     async def put(
-        self, key: str, value: bytes, if_revision: int | None, lease_id: Any = None
-    ) -> object:
-        """Write a value."""
+        self, key: str, value: bytes, if_revision: int | None, lease_id: str | None = None
+    ) -> PutOutcome:
+        """Write a key."""
+        ...
 
-    async def delete(self, key: str, if_revision: int | None) -> object:
-        """Delete a value."""
+    async def delete(self, key: str, if_revision: int | None) -> DeleteOutcome:
+        """Delete a key."""
+        ...
 
-    async def list(self, prefix: str) -> object:
-        """Read all entries below a prefix."""
+    async def list(self, prefix: str) -> ListOutcome:
+        """Read all keys that start with a prefix."""
+        ...
 
-    async def grant_lease(self, ttl_s: float) -> object:
+    async def grant_lease(self, ttl_s: float) -> GrantOutcome:
         """Create a lease."""
+        ...
 
-    async def renew_lease(self, lease_id: Any) -> object:
+    async def renew_lease(self, lease_id: str) -> RenewOutcome:
         """Extend a lease."""
-
-
-@runtime_checkable
-class _Granted(Protocol):
-    lease_id: Any
-
-
-@runtime_checkable
-class _Listed(Protocol):
-    entries: Any
-
-
-@runtime_checkable
-class _Failure(Protocol):
-    reason: Any
-    effect: Any
+        ...
 
 
 @dataclass(frozen=True, slots=True)
@@ -88,12 +89,12 @@
     def __init__(self, store: SeedStore, failure_domain: str, node_id: str) -> None:
         self._store = store
         self._key = f"{SEED_PREFIX}{failure_domain}/{node_id}"
-        self._lease_id: Any = None
+        self._lease_id: str | None = None
 
     async def read(self) -> tuple[Seed, ...] | None:
         """Return the seeds of the store, or None when it is not available."""
         listed = await self._store.list(SEED_PREFIX)
-        if not isinstance(listed, _Listed):
+        if not isinstance(listed, Listed):
             return None
         seeds = []
         for entry in listed.entries:
@@ -108,16 +109,16 @@
         """Write the own seed, or renew its lease; tell whether it is in the store."""
         if self._lease_id is not None:
             renewed = await self._store.renew_lease(self._lease_id)
-            if isinstance(renewed, _Granted):
+            if isinstance(renewed, LeaseHeld):
                 return True
-            if isinstance(renewed, _Failure):
+            if isinstance(renewed, StoreFailed):
                 return False
             self._lease_id = None  # the lease expired, and the seed with it
         granted = await self._store.grant_lease(SEED_LEASE_S)
-        if not isinstance(granted, _Granted):
+        if not isinstance(granted, LeaseGranted):
             return False
         stored = await self._store.put(self._key, str(address).encode(), None, granted.lease_id)
-        if isinstance(stored, _Failure):
+        if not isinstance(stored, Stored):
             return False
         self._lease_id = granted.lease_id
         return True
--- a/tests/test_seeds.py
+++ b/tests/test_seeds.py
@@ -2,13 +2,21 @@
 
 from __future__ import annotations
 
-from types import SimpleNamespace as Outcome
-
 from jaypost.records import Address
 from jaypost.seeds import Seed, StoreSeeds
+from jaypost.store import (
+    Effect,
+    LeaseGranted,
+    LeaseHeld,
+    LeaseLapsed,
+    Listed,
+    Stored,
+    StoreEntry,
+    StoreFailed,
+)
 
 ADDRESS = Address("127.0.0.1", 7602)
-OUTAGE = Outcome(reason="timed out", effect="unknown")
+OUTAGE = StoreFailed("timed out", Effect.UNKNOWN)
 
 
 class FakeStore:
@@ -16,31 +24,31 @@
 
     def __init__(self) -> None:
         self.value_by_key: dict[str, bytes] = {}
-        self.leases: set[int] = set()
+        self.leases: set[str] = set()
         self.granted = 0
         self.available = True
 
     async def put(self, key, value, if_revision, lease_id=None):
         if self.available:
             self.value_by_key[key] = value
-        return Outcome(revision=1) if self.available else OUTAGE
+        return Stored(1) if self.available else OUTAGE
 
     async def delete(self, key, if_revision):
         self.value_by_key.pop(key, None)
 
     async def list(self, prefix):
-        entries = [Outcome(key=key, value=value) for key, value in self.value_by_key.items()]
-        return Outcome(entries=entries) if self.available else OUTAGE
+        entries = tuple(StoreEntry(key, 1, value) for key, value in self.value_by_key.items())
+        return Listed(entries) if self.available else OUTAGE
 
     async def grant_lease(self, ttl_s):
         self.granted += self.available
-        self.leases.add(self.granted)
-        return Outcome(lease_id=self.granted) if self.available else OUTAGE
+        self.leases.add(str(self.granted))
+        return LeaseGranted(str(self.granted)) if self.available else OUTAGE
 
     async def renew_lease(self, lease_id):
         if not self.available:
             return OUTAGE
-        return Outcome(lease_id=lease_id) if lease_id in self.leases else Outcome(revision=1)
+        return LeaseHeld() if lease_id in self.leases else LeaseLapsed()
 
 
 async def test_seed_is_kept_renewed_and_withdrawn() -> None:
