Keep a resumed change undecided when the store fails

A second call with the id of an undecided change reported that nothing had taken effect when the store failed again, although the write of the first call could still be applied. change and rollback now take resumed=True for such a call and report Undecided.

The new lines of the test of a store that is down failed with the rule removed.

--- a/jaypost/writers.py
+++ b/jaypost/writers.py
@@ -136,6 +136,7 @@
     head is above it without the change, that write can no longer take effect.
     """
 
+    resumed: bool
     failures: int = 0
     races: int = 0
     unknown_at: int | None = None
@@ -191,15 +192,35 @@
         return await layout.read_table(self._store, stored.head)
 
     async def change(
-        self, edit: TableEdit, author: str, comment: str, change_id: str
+        self,
+        edit: TableEdit,
+        author: str,
+        comment: str,
+        change_id: str,
+        *,
+        resumed: bool = False,
     ) -> ChangeOutcome:
         """Make `edit` part of a new version.
 
         Calling it again with the same `edit` and `change_id` never makes the change twice.
+
+        Parameters
+        ----------
+        edit : TableEdit
+            Row edits and the version that they were made against.
+        author : str
+            Operator.
+        comment : str
+            Reason for people.
+        change_id : str
+            Random identifier from `new_change_id`.
+        resumed : bool
+            Whether an earlier call with this `change_id` was undecided. Its write may still take
+            effect, so a failure of the store leaves the change undecided again.
         """
         at_ms = round(self._wall_clock() * 1000)
         change = _Change(edit, author, comment, change_id, at_ms)
-        progress = _Progress()
+        progress = _Progress(resumed)
         while True:
             outcome = await self._attempt(change, progress)
             if isinstance(outcome, _Raced):
@@ -216,29 +237,39 @@
             await self._back_off(progress)
 
     async def rollback(
-        self, version: int, author: str, comment: str, change_id: str
+        self, version: int, author: str, comment: str, change_id: str, *, resumed: bool = False
     ) -> ChangeOutcome:
-        """Make a new version with the rows of an older one."""
+        """Make a new version with the rows of an older one; `resumed` is as for `change`."""
+        edit = await self._rollback_edit(version, change_id)
+        if isinstance(edit, TableEdit):
+            return await self.change(edit, author, comment, change_id, resumed=resumed)
+        if isinstance(edit, StoreFailed) and resumed:
+            return Undecided(change_id)
+        return edit
+
+    async def _rollback_edit(
+        self, version: int, change_id: str
+    ) -> TableEdit | Accepted | Rejected | StoreFailed:
+        """Return the edit that leads back to `version`, or the outcome if there is none."""
         stored = await layout.read_head(self._store)
         if isinstance(stored, StoreFailed):
             return stored
         if not 1 <= version <= stored.head.version:
             return _rejected(f"version {version} does not exist")
         made = await self._find_since(stored.head, version, change_id)
-        if isinstance(made, Delta):
-            return Accepted(made.version)
         if isinstance(made, StoreFailed):
             return made
+        if isinstance(made, Delta):
+            return Accepted(made.version)
         old = await self._read_version(stored.head, version)
-        present = await layout.read_table(self._store, stored.head)
         if isinstance(old, StoreFailed):
             return old
-        if isinstance(present, StoreFailed):
-            return present
         if isinstance(old, _HistoryGone):
             return _rejected(f"version {version} is no longer kept")
-        edit = TableEdit(present, table.diff(present, old))
-        return await self.change(edit, author, comment, change_id)
+        present = await layout.read_table(self._store, stored.head)
+        if isinstance(present, StoreFailed):
+            return present
+        return TableEdit(present, table.diff(present, old))
 
     async def history(self, limit: int) -> tuple[Delta, ...] | StoreFailed:
         """Return the newest `limit` changes, the newest first."""
@@ -265,7 +296,7 @@
         return ChangeAbsent(stored.head.version) if made is None else ChangeFound(made)
 
     def _give_up(self, change: _Change, progress: _Progress, failure: StoreFailed) -> ChangeOutcome:
-        if progress.unknown_at is None:
+        if progress.unknown_at is None and not progress.resumed:
             return StoreFailed(failure.reason, Effect.NONE)
         log.warning("change_undecided", change_id=change.change_id, reason=failure.reason)
         return Undecided(change.change_id)
--- a/tests/test_writers.py
+++ b/tests/test_writers.py
@@ -236,8 +236,13 @@
         return Fate.REFUSED
 
     writer = writer_for(StoreCore(), down)
-    outcome = await set_rows(writer, "ours", A, base=table.EMPTY_TABLE)
-    assert outcome == StoreFailed("down", Effect.NONE)
+    edit = TableEdit(table.EMPTY_TABLE, (RowChange("a", A),))
+    failed = StoreFailed("down", Effect.NONE)
+    assert await writer.change(edit, "op", "", "ours") == failed
+    assert await writer.rollback(1, "op", "", "ours") == failed
+    # The write of an earlier call may still take effect.
+    assert await writer.change(edit, "op", "", "ours", resumed=True) == Undecided("ours")
+    assert await writer.rollback(1, "op", "", "ours", resumed=True) == Undecided("ours")
 
 
 async def test_folded_history_can_be_read_searched_and_rolled_back_to():
@@ -366,9 +371,9 @@
         undecided = [i for i, o in self.outcome_by_id.items() if isinstance(o, Undecided)]
         change_id = choice.choice(undecided)
         del self.outcome_by_id[change_id]
-        self.resume(change_id)
+        self.resume(change_id, resumed=True)
 
-    def resume(self, change_id):
+    def resume(self, change_id, resumed=False):
         async def choose(kind, key):
             return await suspend((kind, key))
 
@@ -378,7 +383,7 @@
         writer = writer_for(self.core, choose, sleep, max_deltas=2, kept_archives=99)
         writer._store.late = self.late
         edit = TableEdit(self.base_by_id[change_id], self.edit_by_id[change_id])
-        coroutine = writer.change(edit, "op", "", change_id)
+        coroutine = writer.change(edit, "op", "", change_id, resumed=resumed)
         coroutine.send(None)
         self.running[change_id] = coroutine
 
