Freeze garbage collection after start, report store calls, settle claims

Change: gc.freeze when the node is ready; StoreClient reports each call; Placement keeps the load last reported; the daemon settles claims every 10 s.

--- a/jaypost/daemon.py
+++ b/jaypost/daemon.py
@@ -5,6 +5,7 @@
 import argparse
 import asyncio
 import contextlib
+import gc
 import os
 import random
 import signal
@@ -13,6 +14,7 @@
 from collections import Counter
 from collections.abc import Coroutine, Mapping
 from dataclasses import dataclass
+from http import HTTPStatus
 from typing import Any
 
 import structlog
@@ -35,7 +37,7 @@
 from jaypost.joining import Joined
 from jaypost.limits import FleetLimits
 from jaypost.logs import EventName
-from jaypost.metrics import Metrics
+from jaypost.metrics import Metrics, StoreOutcome
 from jaypost.peers import PeerChannels
 from jaypost.placement import Placement
 from jaypost.readers import ReadFailed, TableReader
@@ -43,14 +45,14 @@
 from jaypost.retries import RetryPolicy
 from jaypost.seeds import StoreSeeds
 from jaypost.settings import LoadedSettings, RefusedSettings, Settings
-from jaypost.store import StoreClient
+from jaypost.store import StoreCallEnded, StoreClient
 from jaypost.view import MembershipView
 
 log = structlog.get_logger(__name__)
 
 EXIT_USAGE = 2
 EXIT_DRAIN_TIMEOUT = 1
-LOG_FLUSH_INTERVAL_S = 10.0
+PERIODIC_WORK_S = 10.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -90,7 +92,9 @@
         rng = random.Random()
         self.events = events
         self.metrics = Metrics(node_settings.label_limit)
-        self.store = StoreClient(node_settings.store, node_settings.store_timeout_s)
+        self.store = StoreClient(
+            node_settings.store, node_settings.store_timeout_s, self._on_store_call_ended
+        )
         self.holder = ConfigHolder(node_settings, node_settings.node_id)
         self.holder.suspend()
         self.holder.on_in_force = self._on_in_force
@@ -107,11 +111,12 @@
             self._snapshot,
             self.metrics.execution_ended,
         )
+        self.claims = Claims(self.store, node_settings.claim_rate)
         self.ingress = Ingress(
             node_settings,
             self.placement,
             RetryPolicy(rng),
-            Claims(self.store, node_settings.claim_rate),
+            self.claims,
             self._snapshot,
             self._on_call_ended,
             self.egress,
@@ -133,7 +138,7 @@
         await self.ingress.start()
         await self._start_membership(peer)
         self._spawn(self._become_ready())
-        self._spawn(self._flush_log_counts())
+        self._spawn(self._do_periodic_work())
         self.metrics.add_source(self._update_metrics)
         self.events.record(EventName.NODE_STARTED, node=self.settings.node_id, process=os.getpid())
 
@@ -226,15 +231,20 @@
         self._reason = "the newest table version is not in force yet"
         await self._bring_into_force()
         self.reader.start()
+        # A full collection over the records of 7,000 nodes stops the event loop long enough that
+        # peers accuse the node; what exists now stays for the life of the process.
+        gc.collect()
+        gc.freeze()
         self._ready, self._reason = True, ""
         self.gossip.publish(state=NodeState.READY)
         version = self.holder.in_force_version
         self.events.record(EventName.NODE_READY, node=self.settings.node_id, version=version)
 
-    async def _flush_log_counts(self) -> None:
+    async def _do_periodic_work(self) -> None:
         while True:
-            await asyncio.sleep(LOG_FLUSH_INTERVAL_S)
+            await asyncio.sleep(PERIODIC_WORK_S)
             logs.flush_left_out()
+            await self.claims.settle()
 
     async def _bring_into_force(self) -> None:
         while True:
@@ -291,6 +301,12 @@
         self._unreachable_ids = unreachable
         self.holder.targets_changed(self.view.targets_by_service(time.monotonic()))
 
+    def _on_store_call_ended(self, call: StoreCallEnded) -> None:
+        outcome = StoreOutcome.DONE if call.status else StoreOutcome.FAILED
+        if call.status == HTTPStatus.CONFLICT:
+            outcome = StoreOutcome.CONFLICT
+        self.metrics.store_call_ended(call.operation, outcome, call.seconds)
+
     def _on_call_ended(self, call: CallEnded) -> None:
         self.metrics.call_ended(call)
         if call.kind is not None:
@@ -356,7 +372,7 @@
             self.holder.snapshot,
             place,
             lambda target_id: self.health.weight(target_id, now),
-            lambda target_id: None,
+            self.placement.reported_load,
         )
 
     def drain(self) -> None:
--- a/jaypost/placement.py
+++ b/jaypost/placement.py
@@ -129,6 +129,7 @@
     """What the ingress knows about the load of one target."""
 
     utilisation: float = 0.0
+    reported: Load | None = None
     queued: int = 0
     tier: int = 0
     hint_at: float = float("-inf")
@@ -151,6 +152,7 @@
     full_share: float = 0.0
     full_at: float = float("-inf")
     utilisation: float = 0.0
+    reported: Load | None = None
     queued_mean: float = 0.0
 
     def learn(self, load: _TargetLoad, full: bool, now: float) -> None:
@@ -255,6 +257,11 @@
             return
         self._ended(event)
 
+    def reported_load(self, target_id: str) -> Load | None:
+        """Return the load that the target's node reported last, None when it never did."""
+        load = self._load_by_id.get(target_id)
+        return load.reported if load is not None else None
+
     def forget(self, service: str) -> None:
         """Drop what is known about a service that has no targets any more."""
         state = self._state_by_service.pop(service, None)
@@ -500,6 +507,7 @@
         refused = event.kind in FULL_KINDS
         load.tier = self._tier(event.target)
         if event.load is not None:
+            load.reported = event.load
             load.utilisation = (event.load.busy + event.load.queued) / max(1, event.load.slots)
             load.queued = event.load.queued
             load.hint_at, load.inflight_at_hint = event.now, load.inflight
--- a/jaypost/store.py
+++ b/jaypost/store.py
@@ -8,6 +8,8 @@
 import asyncio
 import base64
 import binascii
+import time
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from enum import StrEnum
 from typing import Protocol
@@ -84,6 +86,15 @@
     effect: Effect
 
 
+@dataclass(frozen=True, slots=True)
+class StoreCallEnded:
+    """One call of the store; `status` is 0 when no answer came."""
+
+    operation: str
+    status: int
+    seconds: float
+
+
 @dataclass(frozen=True, slots=True)
 class StoreEntry:
     """A key in a listing."""
@@ -226,11 +237,19 @@
         Address of the store.
     timeout_s : float
         Time for one call in seconds, on top of the time that a watch waits.
+    on_call_ended : Callable[[StoreCallEnded], None] or None
+        Told the result of each call, for metrics.
     """
 
-    def __init__(self, address: Address, timeout_s: float) -> None:
+    def __init__(
+        self,
+        address: Address,
+        timeout_s: float,
+        on_call_ended: Callable[[StoreCallEnded], None] | None = None,
+    ) -> None:
         self._address = address
         self._timeout_s = timeout_s
+        self._on_call_ended = on_call_ended
         self._idle: list[_Connection] = []
         self._busy: set[_Connection] = set()
         self._running = False
@@ -377,6 +396,16 @@
         return _unexpected(call, response)
 
     async def _send(self, call: _Call) -> _Response | StoreFailed:
+        started = time.monotonic()
+        response = await self._try(call)
+        if self._on_call_ended is not None:
+            status = 0 if isinstance(response, StoreFailed) else response.status
+            operation = "watch" if call.wait_s else call.method.lower()
+            seconds = time.monotonic() - started
+            self._on_call_ended(StoreCallEnded(operation, status, seconds))
+        return response
+
+    async def _try(self, call: _Call) -> _Response | StoreFailed:
         if not self._running:
             return call.failed("client is closed")
         try:
