Wait for the store in the demo before the table is imported

Cause: on a busy machine the tool ran before the store stand-in listened, and the import failed.

Change: the demo waits up to 30 s for the store.

--- a/standins/demo.py
+++ b/standins/demo.py
@@ -97,6 +97,8 @@
 def start(fleet: Fleet) -> list[NodePlace]:
     """Start the store, the nodes and the targets, and wait until calls can be answered."""
     fleet.start_store()
+    if wait_until(lambda: http("GET", fleet.store_address, "/v1/stats")[0] == 200, 30) is None:
+        raise SystemExit("the store did not start")
     places = []
     for number in range(NODES):
         domain, region = DOMAINS[number % len(DOMAINS)]
