Reset the connection when a response without framing is cut

Change: such a connection is reset (SO_LINGER of 0). Responses with a length or in chunks are still closed in order, because their truncation is visible.

--- a/jaypost/codecs.py
+++ b/jaypost/codecs.py
@@ -302,9 +302,20 @@
         Whether bytes followed the end of a message.
     closing : bool
         Whether either side announced that the connection closes after this exchange.
+    unframed : bool
+        Whether the response that is sent ends with the connection, so that only a reset of the
+        connection shows that it is cut.
     """
 
-    __slots__ = ("_buffer", "_framing_bytes", "_header_limit", "_phase", "closing", "surplus")
+    __slots__ = (
+        "_buffer",
+        "_framing_bytes",
+        "_header_limit",
+        "_phase",
+        "closing",
+        "surplus",
+        "unframed",
+    )
 
     def __init__(self, header_limit: int) -> None:
         self._header_limit = header_limit
@@ -313,6 +324,7 @@
         self._framing_bytes = 0
         self.surplus = False
         self.closing = False
+        self.unframed = False
 
     def receive(self, data: bytes) -> list[Event]:
         """Decode bytes that arrived."""
@@ -607,7 +619,7 @@
             self._chunked_out = request.method != "HEAD"
             framing = b"transfer-encoding: chunked\r\n"
         else:
-            closing = True
+            closing = self.unframed = True
         self.closing = closing
         return _encode_head(_status_line(head.status), head, framing, closing)
 
@@ -766,7 +778,7 @@
             headers.append((b"content-length", b"%d" % head.content_length))
         elif head.status not in _BODYLESS_STATUSES and request is not None:
             if request.http_1_0:
-                self.closing = True
+                self.closing = self.unframed = True
             else:
                 headers.append((b"transfer-encoding", b"chunked"))
         if not head.keep_alive or request is None or not request.keep_alive:
--- a/jaypost/connections.py
+++ b/jaypost/connections.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import asyncio
+import socket
+import struct
 from abc import ABC, abstractmethod
 from collections.abc import Callable
 from dataclasses import dataclass
@@ -29,6 +31,7 @@
 log = structlog.get_logger(__name__)
 
 LINGER_S = 1.0  # unread input at close makes the kernel send a reset, which may destroy the answer
+LINGER_RESET = struct.pack("ii", 1, 0)  # closing the socket sends a reset
 BACKLOG = 1024
 
 PROBE_TARGET = "*"
@@ -319,9 +322,14 @@
         """Close the connection at once, without the end of the response."""
         self._call = None
         self._out.clear()
-        if self._transport is not None:
-            # Not transport.abort(): what was already written is still delivered.
-            self._transport.close()
+        if self._transport is None:
+            return
+        if self._codec.unframed:
+            opened = self._transport.get_extra_info("socket")
+            opened.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, LINGER_RESET)
+            self._transport.abort()
+        else:
+            self._transport.close()  # what was already written is still delivered
 
     def pause_body(self) -> None:
         """Stop reading."""
--- a/tests/test_ingress.py
+++ b/tests/test_ingress.py
@@ -227,6 +227,18 @@
         await client.close()
 
 
+async def test_truncation_is_visible_without_framing(codec: str) -> None:
+    """Guards against a cut response to an HTTP/1.0 caller that ends like a whole one (P4)."""
+    async with mesh(codec, (1,)) as built:
+        built.nodes[0].targets[0].behaviour = Behaviour(cut_after=70_000)
+        client = await built.client()
+        client.write(b"GET /bytes/500000 HTTP/1.0\r\nHost: orders\r\n\r\n")
+        assert (await client.head()).status == 200
+        with pytest.raises(ConnectionResetError):
+            await asyncio.wait_for(client.reader.read(), 10)
+        await client.close()
+
+
 @pytest.mark.parametrize("local", HOPS.values(), ids=HOPS)
 @pytest.mark.parametrize("queued", [False, True])
 async def test_caller_that_leaves_cancels_the_call(codec: str, local: bool, queued: bool) -> None:
