Retry elsewhere after a host dies; classify observed long work; exact concurrency shares

Cause: in the demo a repeatable call to the only target of the region, in flight when its host was killed, was answered outcome_unknown. Its second attempt went to the same host, because a farther one does not pay while the near queue is short, and the refused connection of that attempt counted as possibly run, because the ingress passed on what the first attempt had reached. Ruled out: the budget, which was full. Besides, the egress did not use LongWork nor the slots of earlier hosts, so undeclared long work was never classified and concurrency shares did not add up to the limit.

Change: an attempt of the same request avoids a target that just failed it while another works; AttemptFailed tells this attempt from earlier ones; the egress classifies by observed durations and names the class in its answer, which keeps long work out of the ingress's health; shares use the slots of hosts before the own one.

--- a/jaypost/egress.py
+++ b/jaypost/egress.py
@@ -7,6 +7,7 @@
 import time
 from collections import deque
 from collections.abc import Callable
+from dataclasses import dataclass
 from http import HTTPStatus
 
 import structlog
@@ -18,6 +19,7 @@
     CallClass,
     Cancel,
     Decision,
+    LongWork,
     Message,
     Refused,
     Release,
@@ -53,7 +55,7 @@
 from jaypost.invariants import check
 from jaypost.limits import FleetLimits, LimitQuestion
 from jaypost.pools import CallFailed, ConnectionPool, PooledExchange, Receiver
-from jaypost.records import Address, Row, Snapshot, Target, TargetState
+from jaypost.records import Address, PlacedTarget, Row, Snapshot, Target, TargetState
 from jaypost.settings import Settings
 
 log = structlog.get_logger(__name__)
@@ -71,6 +73,7 @@
         "_admitted_at",
         "_body",
         "_body_done",
+        "_call_class",
         "_deadline",
         "_done",
         "_egress",
@@ -97,6 +100,7 @@
         self._target: Target | None = None
         self._deadline = 0.0
         self._ticket = ""
+        self._call_class = CallClass.SHORT
         self._waiting = False
         self._admitted_at: float | None = None
         self._entered = False
@@ -152,8 +156,9 @@
         question = LimitQuestion(
             self._row,
             egress.own_slots_by_service.get(self._target.service, 0),
-            egress.fleet_slots(self._target.service),
+            egress.fleet_slots(self._target.service).total,
             now,
+            egress.fleet_slots(self._target.service).before_own,
         )
         kind = egress.limits.enter(question)
         if kind is not None:
@@ -164,13 +169,17 @@
         self._waiting = True
         egress.call_by_ticket[self._ticket] = self
         control = self._head.control
+        if control.get(CLASS) == CallClass.LONG.encode():
+            self._call_class = CallClass.LONG
+        else:
+            self._call_class = egress.long_work.classify(self._row, self._head.target, now)
         egress.handle(
             Admit(
                 self._ticket,
                 self._target.target_id,
                 self._row,
                 control.get(TENANT, b"").decode("latin-1") or DEFAULT_TENANT,
-                CallClass.LONG if control.get(CLASS) == b"long" else CallClass.SHORT,
+                self._call_class,
                 self._deadline,
                 control.get(MAY_QUEUE) == b"1",
                 now,
@@ -182,8 +191,11 @@
         self._egress.queued_tickets.discard(self._ticket)
         if isinstance(decision, Admitted):
             self._waiting = False
-            self._admitted_at = self._egress.clock()
-            self._dispatch(self._admitted_at)
+            now = self._admitted_at = self._egress.clock()
+            assert self._row is not None
+            path = self._head.target
+            self._egress.long_work.started(self._ticket, self._row.service, path, now)
+            self._dispatch(now)
         elif isinstance(decision, Refused):
             self._waiting = False
             self._refuse(decision.kind)
@@ -307,6 +319,7 @@
         control = {
             REQUEST_ID: request_id,
             LOAD: str(self._egress.admission.load(self._target.target_id)).encode(),
+            CLASS: self._call_class.encode(),
         }
         if FINAL in head.control:
             control[FINAL] = head.control[FINAL]
@@ -395,7 +408,7 @@
                 self._head.control.get(REQUEST_ID, b"").decode("latin-1"),
                 self._target.service if self._target is not None else "",
                 self._head.control.get(TENANT, b"").decode("latin-1") or DEFAULT_TENANT,
-                CallClass.LONG if self._head.control.get(CLASS) == b"long" else CallClass.SHORT,
+                self._call_class,
                 egress.snapshot().version,
                 kind,
                 status,
@@ -408,10 +421,31 @@
         )
         self._exchange = None  # breaks the reference cycle of call, exchange and receiver
         if self._admitted_at is not None:
+            self._learn_duration(run_state, now - started_at)
             egress.handle(Release(self._ticket, now - started_at, now))
         elif self._waiting:
             egress.handle(Cancel(self._ticket, now))
 
+    def _learn_duration(self, run_state: RunState, service_s: float) -> None:
+        assert self._row is not None
+        long_work = self._egress.long_work
+        service, path = self._row.service, self._head.target
+        if run_state is RunState.RAN:
+            long_work.observe(service, path, service_s, self._ticket)
+        else:
+            long_work.abandoned(self._ticket, service, path)
+
+
+@dataclass(frozen=True, slots=True)
+class FleetSlots:
+    """Slots of the reachable ready targets of a service, and those of them on earlier hosts.
+
+    Hosts are ordered by node id, so that the shares of all hosts add up to the limit.
+    """
+
+    total: int
+    before_own: int
+
 
 class _TargetReceiver(Receiver):
     """Passes the response of the target on to its call."""
@@ -477,6 +511,7 @@
         self.snapshot = snapshot
         self.report = on_call_ended
         self.clock = time.monotonic  # the clock of uvloop has a resolution of 1 ms only
+        self.long_work = LongWork()
         self.pool = ConnectionPool(settings)
         self.in_flight = InFlight()
         self.refusing = False
@@ -485,7 +520,7 @@
         self.call_by_ticket: dict[str, EgressCall] = {}
         self.queued_tickets: set[str] = set()
         self._fleet_snapshot: Snapshot | None = None
-        self._fleet_slots_by_service: dict[str, int] = {}
+        self._fleet_slots_by_service: dict[str, FleetSlots] = {}
         self._tickets = itertools.count(1)
         self._decisions: deque[Decision] = deque()
         self._applying = False
@@ -547,7 +582,7 @@
         """Return a ticket that is unique on this node."""
         return str(next(self._tickets))
 
-    def fleet_slots(self, service: str) -> int:
+    def fleet_slots(self, service: str) -> FleetSlots:
         """Return the slots of the reachable ready targets of a service in the snapshot."""
         snapshot = self.snapshot()
         if snapshot is not self._fleet_snapshot:
@@ -555,13 +590,22 @@
             self._fleet_slots_by_service = {}
         slots = self._fleet_slots_by_service.get(service)
         if slots is None:
-            slots = sum(
-                placed.target.slots
-                for placed in snapshot.targets_by_service.get(service, ())
-                if placed.reachable and placed.target.state is TargetState.READY
-            )
+            slots = self._count_slots(snapshot.targets_by_service.get(service, ()))
             self._fleet_slots_by_service[service] = slots
-        return max(slots, self.own_slots_by_service.get(service, 0))
+        own = self.own_slots_by_service.get(service, 0)
+        if slots.total < slots.before_own + own:  # the snapshot does not show own targets yet
+            return FleetSlots(slots.before_own + own, slots.before_own)
+        return slots
+
+    def _count_slots(self, targets: tuple[PlacedTarget, ...]) -> FleetSlots:
+        ready = [
+            placed
+            for placed in targets
+            if placed.reachable and placed.target.state is TargetState.READY
+        ]
+        own_id = self.settings.node_id
+        before = sum(placed.target.slots for placed in ready if placed.node_id < own_id)
+        return FleetSlots(sum(placed.target.slots for placed in ready), before)
 
     def handle(self, message: Message) -> None:
         """Pass a message to the admission and its decisions to their calls, in order."""
--- a/jaypost/ingress.py
+++ b/jaypost/ingress.py
@@ -82,7 +82,7 @@
 class Attempt(Receiver):
     """One attempt of a call: a request to one target and its response."""
 
-    __slots__ = ("_call", "exchange", "may_queue", "placed", "refusal", "started_at")
+    __slots__ = ("_call", "exchange", "long_work", "may_queue", "placed", "refusal", "started_at")
 
     def __init__(
         self, call: IngressCall, placed: PlacedTarget, may_queue: bool, started_at: float
@@ -91,6 +91,7 @@
         self.placed = placed
         self.may_queue = may_queue
         self.started_at = started_at
+        self.long_work = False
         self.exchange: Exchange | None = None
         # Set when the response is not delivered; the attempt fails once its body was read, so
         # that the connection stays usable.
@@ -431,6 +432,7 @@
                 self._tried,
                 self._attempts >= row.retry_limit,
                 now,
+                self._call_class is CallClass.LONG,
             )
         )
         if isinstance(chosen, NoTarget):
@@ -441,6 +443,7 @@
         self._tried = self._tried | {chosen.target.target.target_id}
         self._started_at = now
         attempt = Attempt(self, chosen.target, chosen.may_queue, now)
+        attempt.long_work = self._call_class is CallClass.LONG
         ingress.placement.observe(AttemptStarted(chosen.target.target.target_id, now))
         self._live.append(attempt)
         self._send(attempt, row, now, hedge)
@@ -527,6 +530,7 @@
         control = head.control
         load = parse_load(control.get(LOAD))
         final = FINAL in control
+        attempt.long_work = attempt.long_work or control.get(CLASS) == CallClass.LONG.encode()
         if control.get(REQUEST_ID) != self._request_id:
             log.error("crossed_response", request_id=self._request_id, got=control.get(REQUEST_ID))
             assert attempt.exchange is not None
@@ -624,12 +628,13 @@
                 self._attempts,
                 refusal.kind,
                 refusal.status,
-                refusal.reached or self._maybe_run,
+                refusal.reached,
                 not self._body_open,
                 refusal.final,
                 self._inside_retry,
                 self._deadline - now,
                 now,
+                self._maybe_run,
             )
         )
 
@@ -652,7 +657,7 @@
     ) -> None:
         latency_s = now - attempt.started_at
         self._ingress.placement.observe(
-            AttemptEnded(attempt.placed, kind, status, latency_s, load, now)
+            AttemptEnded(attempt.placed, kind, status, latency_s, load, now, attempt.long_work)
         )
 
     def _cancel_attempts(self) -> None:
--- a/jaypost/placement.py
+++ b/jaypost/placement.py
@@ -35,6 +35,7 @@
 
 QUEUE_REFUSALS = frozenset({ErrorKind.QUEUE_FULL, ErrorKind.DEADLINE_TOO_SHORT})
 FULL_KINDS = QUEUE_REFUSALS | {ErrorKind.SLOTS_FULL}
+BROKEN_KINDS = frozenset({ErrorKind.OUTCOME_UNKNOWN, ErrorKind.ANSWER_CUT, ErrorKind.INTERNAL})
 FAILED_KINDS = frozenset({ErrorKind.CONNECT_FAILED, ErrorKind.DRAINING, ErrorKind.WRONG_TARGET})
 
 
@@ -136,6 +137,7 @@
     full_until: float = float("-inf")
     long_full_until: float = float("-inf")
     failed_until: float = float("-inf")
+    broken_until: float = float("-inf")
     queue_refused_at: float = float("-inf")
     inflight: int = 0
     inflight_at_hint: int = 0
@@ -334,7 +336,7 @@
         if not any(reachable):
             return allowed
         working = tuple(
-            tuple(item for item in tier if self._is_working(item, question.now))
+            tuple(item for item in tier if self._is_worth_trying(item, question))
             for tier in reachable
         )
         if any(working):
@@ -346,6 +348,14 @@
             return unreachable
         return reachable
 
+    def _is_worth_trying(self, placed: PlacedTarget, question: ChooseTarget) -> bool:
+        """Tell whether a target works and did not just fail an earlier attempt of the request."""
+        target_id = placed.target.target_id
+        load = self._load_by_id.get(target_id)
+        if load is not None and target_id in question.tried and question.now < load.broken_until:
+            return False
+        return self._is_working(placed, question.now)
+
     def _is_working(self, placed: PlacedTarget, now: float) -> bool:
         load = self._load_by_id.get(placed.target.target_id)
         if load is not None and now < load.failed_until:
@@ -517,6 +527,8 @@
             load.long_full_until = event.now + FULL_MEMORY_S
             if not event.long_work:
                 load.full_until = load.long_full_until
+        elif event.kind in BROKEN_KINDS:
+            load.broken_until = event.now + FAILED_MEMORY_S
         elif event.kind in FAILED_KINDS:
             load.failed_until = event.now + FAILED_MEMORY_S
         else:
--- a/jaypost/retries.py
+++ b/jaypost/retries.py
@@ -36,7 +36,7 @@
     status : int
         HTTP status of the answer; 0 when there was none.
     reached : bool
-        Whether a byte of the request may have reached the application of a target.
+        Whether a byte of this attempt may have reached the application of a target.
     body_kept : bool
         Whether the whole body is still held, so that it can be sent again.
     final : bool
@@ -47,6 +47,8 @@
         Time left until the deadline.
     now : float
         Monotonic time in seconds.
+    earlier_reached : bool
+        Whether a byte of an earlier attempt may have reached the application of a target.
     """
 
     row: Row
@@ -60,6 +62,7 @@
     inside_retry: bool
     remaining_s: float
     now: float
+    earlier_reached: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -128,9 +131,10 @@
     def _may_repeat(failure: AttemptFailed, not_run: bool) -> bool:
         if failure.final or not failure.body_kept or failure.attempt > failure.row.retry_limit:
             return False
+        repeatable = failure.method in failure.row.repeatable_methods
         if not_run:
-            return True
-        if failure.inside_retry or failure.method not in failure.row.repeatable_methods:
+            return repeatable or not failure.earlier_reached
+        if failure.inside_retry or not repeatable:
             return False
         return failure.kind is None or failure.kind in REPEATED_KINDS
 
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -170,6 +170,14 @@
     assert set(Ingress().chosen_ids(tried=("a1", "a2"))) == {"b1", "b2"}
 
 
+def test_leaves_the_region_when_its_only_target_just_failed_the_request():
+    """Guards against a retry that goes back to a host that died with the first attempt."""
+    ingress = Ingress()
+    ingress.end(NEAR[0], ErrorKind.OUTCOME_UNKNOWN, None)
+    targets = (NEAR[0], *FAR)
+    assert set(ingress.chosen_ids(targets, tried={"b1"})) == {"d1", "d2"}
+
+
 def test_leaves_the_region_only_for_a_lasting_and_costly_wait():
     ingress = Ingress()
     ingress.choose()
--- a/tests/test_retries.py
+++ b/tests/test_retries.py
@@ -49,6 +49,8 @@
         (REFUSED, {"attempt": 3}, False),
         (REFUSED, {"body_kept": False}, False),
         (REFUSED, {"final": True}, False),
+        (REFUSED, {"attempt": 2, "earlier_reached": True}, True),
+        (REFUSED, {"attempt": 2, "earlier_reached": True, "method": "POST"}, False),
     ],
 )
 def test_what_may_be_repeated(failure, changes, retried):
