Name the metrics methods of calls as the metrics module does

The daemon passed egress_call_ended and called ingress_call_ended, which Metrics had renamed to execution_ended and call_ended. No node started, and mypy failed on both names. After the change mypy passes and a fleet of 8 nodes becomes ready.

--- a/jaypost/daemon.py
+++ b/jaypost/daemon.py
@@ -104,7 +104,7 @@
             Admission(),
             FleetLimits(),
             self._snapshot,
-            self.metrics.egress_call_ended,
+            self.metrics.execution_ended,
         )
         self.ingress = Ingress(
             node_settings,
@@ -276,7 +276,7 @@
         self.holder.targets_changed(self.view.targets_by_service(time.monotonic()))
 
     def _on_call_ended(self, call: CallEnded) -> None:
-        self.metrics.ingress_call_ended(call)
+        self.metrics.call_ended(call)
         if call.kind is not None:
             log.info(
                 "call_failed",
