Close admin connections without a traceback in the log

The stream server of Python 3.11 asks the task of a connection for its exception and logs a traceback when close() has cancelled it. The task now ends normally. The new test fails without the change.

--- a/jaypost/admin.py
+++ b/jaypost/admin.py
@@ -286,6 +286,8 @@
         self._connections.add(task)
         try:
             await _Connection(reader, writer, self._settings.header_limit_bytes, self).serve()
+        except asyncio.CancelledError:
+            pass  # the stream server of Python 3.11 logs a traceback for a cancelled connection
         finally:
             await _close_writer(writer)
             self._connections.discard(task)
--- a/tests/test_admin.py
+++ b/tests/test_admin.py
@@ -166,3 +166,16 @@
         received += len(data)
     assert received < 32 << 20
     writer.close()
+
+
+async def test_close_with_an_open_connection_logs_no_exception(host):
+    """Guards against a traceback in the log of each node that leaves while it is watched."""
+    contexts = []
+    asyncio.get_running_loop().set_exception_handler(lambda _, context: contexts.append(context))
+    address = host.server.address
+    _, writer = await asyncio.open_connection(address.host, address.port)
+    await asyncio.sleep(0.05)
+    await host.server.close()
+    await asyncio.sleep(0.05)
+    writer.close()
+    assert contexts == []
