--- /dev/null
+++ b/bench/chaos_faults.py
@@ -0,0 +1,304 @@
+"""Faults of a chaos run: a schedule drawn from a seed, and its application to real processes."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import random
+import signal
+import time
+from collections.abc import Awaitable, Callable, Coroutine, Mapping, Sequence
+from dataclasses import dataclass
+from enum import StrEnum
+from typing import Any
+
+from bench.chaos_checks import ProcessEnd, Window
+from jaypost.records import Address
+from standins.processes import Fleet, Process, http
+from standins.relay import Relay
+
+KILLED_FRACTION = 0.2
+EXIT_TIMEOUT_S = 30.0
+# Calls that a fault has delayed, and views that still miss its end, last longer than the fault.
+AFTERMATH_S = 1.5
+# A silent connection is found by the idle probe or by a request that times out.
+SILENCE_AFTERMATH_S = 12.0
+# A killed node is accused after a failed sync and refutes when it is back.
+KILL_AFTERMATH_S = 3.0
+
+
+class FaultKind(StrEnum):
+    """Kinds of faults."""
+
+    KILL_NODES = "kill_nodes"
+    KILL_TARGETS = "kill_targets"
+    PAUSE_NODE = "pause_node"
+    PAUSE_TARGET = "pause_target"
+    TERMINATE_NODE = "terminate_node"
+    TERMINATE_TARGET = "terminate_target"
+    STORE_DOWN = "store_down"
+    STORE_SLOW = "store_slow"
+    STORE_LOSES_ANSWERS = "store_loses_answers"
+    FREEZE_TARGET = "freeze_target"
+    CUT_TARGET = "cut_target"
+    SILENCE = "silence"
+
+
+GENTLE_KINDS = (
+    FaultKind.TERMINATE_NODE,
+    FaultKind.TERMINATE_TARGET,
+    FaultKind.STORE_DOWN,
+    FaultKind.STORE_SLOW,
+    FaultKind.STORE_LOSES_ANSWERS,
+)
+GENTLE_FRACTION = 0.4
+FAULTS_PER_S = 1.0
+
+
+@dataclass(frozen=True, slots=True)
+class Fault:
+    """A fault, `at_s` after the start of the schedule, for `duration_s`."""
+
+    at_s: float
+    kind: FaultKind
+    duration_s: float
+
+
+def draw_schedule(rng: random.Random, duration_s: float) -> tuple[Fault, ...]:
+    """Draw a schedule: first faults that may cut no call, then faults of every kind.
+
+    Every kind occurs once before any of its part occurs again, so that short runs cover them all.
+    """
+    gentle_s = duration_s * GENTLE_FRACTION
+    return (
+        *_draw_part(rng, GENTLE_KINDS, 0.0, gentle_s),
+        *_draw_part(rng, tuple(FaultKind), gentle_s, duration_s),
+    )
+
+
+def _draw_part(
+    rng: random.Random, kinds: Sequence[FaultKind], start_s: float, end_s: float
+) -> tuple[Fault, ...]:
+    count = max(len(kinds), int((end_s - start_s) * FAULTS_PER_S))
+    drawn: list[FaultKind] = []
+    while len(drawn) < count:
+        drawn += rng.sample(kinds, len(kinds))
+    times = sorted(rng.uniform(start_s, end_s) for _ in range(count))
+    return tuple(
+        Fault(at_s, kind, rng.uniform(0.3, 2.5))
+        for at_s, kind in zip(times, drawn[:count], strict=True)
+    )
+
+
+@dataclass(frozen=True, slots=True)
+class Subjects:
+    """Processes that faults may hit, and how they are started again until they are ready."""
+
+    node_ids: tuple[str, ...]
+    port_by_target: Mapping[str, int]
+    relay_by_node: Mapping[str, Relay]
+    start_node: Callable[[str], Awaitable[None]]
+    start_target: Callable[[str], Awaitable[None]]
+
+
+class FaultRunner:
+    """Applies a schedule and keeps the windows of the faults.
+
+    Parameters
+    ----------
+    fleet : Fleet
+        The processes.
+    subjects : Subjects
+        What may be hit.
+    rng : random.Random
+        Chooses the subjects.
+    """
+
+    def __init__(self, fleet: Fleet, subjects: Subjects, rng: random.Random) -> None:
+        self.disturbances: list[Window] = []
+        self.terminations: list[Window] = []
+        self.ends: list[ProcessEnd] = []
+        self._fleet = fleet
+        self._subjects = subjects
+        self._rng = rng
+        self._busy: set[str] = set()
+        self._store_faults: dict[str, object] = {}
+        self._apply_by_kind: Mapping[FaultKind, Callable[[float], Coroutine[Any, Any, None]]] = {
+            FaultKind.KILL_NODES: self._kill_nodes,
+            FaultKind.KILL_TARGETS: self._kill_targets,
+            FaultKind.PAUSE_NODE: self._pause_node,
+            FaultKind.PAUSE_TARGET: self._pause_target,
+            FaultKind.TERMINATE_NODE: self._terminate_node,
+            FaultKind.TERMINATE_TARGET: self._terminate_target,
+            FaultKind.STORE_DOWN: self._store_down,
+            FaultKind.STORE_SLOW: self._store_slow,
+            FaultKind.STORE_LOSES_ANSWERS: self._store_loses_answers,
+            FaultKind.FREEZE_TARGET: self._freeze_target,
+            FaultKind.CUT_TARGET: self._cut_target,
+            FaultKind.SILENCE: self._silence,
+        }
+
+    def _note(self, text: str) -> None:
+        """Write to the time line of the faults, next to the logs."""
+        now = time.strftime("%H:%M:%S", time.gmtime()) + f".{time.time_ns() // 1_000_000 % 1000:03}"
+        with (self._fleet.directory / "faults.txt").open("a") as file:
+            print(now, text, file=file)
+
+    def is_up(self, node_id: str) -> bool:
+        """Tell whether a caller may choose this node: it is not being killed or ended."""
+        return node_id not in self._busy
+
+    async def run(self, schedule: Sequence[Fault]) -> None:
+        """Apply the schedule; faults overlap. Returns when every fault has ended."""
+        start = time.monotonic()
+        tasks: list[asyncio.Task[None]] = []
+        for fault in schedule:
+            await asyncio.sleep(max(0.0, start + fault.at_s - time.monotonic()))
+            tasks.append(asyncio.create_task(self._apply_by_kind[fault.kind](fault.duration_s)))
+        await asyncio.gather(*tasks)
+
+    def note_end(self, name: str) -> None:
+        """Keep the end of a process that was not caused by the run."""
+        process = self._fleet.process_by_name[name]
+        if not process.is_running:
+            self.ends.append(ProcessEnd(name, process.wait(), expected=False))
+
+    def _take(self, names: Sequence[str], count: int = 1) -> list[str]:
+        """Choose processes that no fault holds; at most half of them are held at a time."""
+        free = [name for name in names if name not in self._busy]
+        allowed = max(0, len(free) - (len(names) + 1) // 2)
+        taken = self._rng.sample(free, min(count, allowed))
+        self._busy.update(taken)
+        for name in taken:
+            self.note_end(name)
+        return taken
+
+    def _disturbed(self, kind: str, subject: str, start_s: float, after_s: float) -> None:
+        self.disturbances.append(Window(kind, subject, start_s, time.monotonic() + after_s))
+
+    async def _kill_nodes(self, duration_s: float) -> None:
+        names = self._subjects.node_ids
+        await self._kill(names, duration_s, self._subjects.start_node)
+
+    async def _kill_targets(self, duration_s: float) -> None:
+        names = tuple(self._subjects.port_by_target)
+        await self._kill(names, duration_s, self._subjects.start_target)
+
+    async def _kill(
+        self, names: Sequence[str], duration_s: float, start: Callable[[str], Awaitable[None]]
+    ) -> None:
+        taken = self._take(names, max(1, round(len(names) * KILLED_FRACTION)))
+        start_s = time.monotonic()
+        for name in taken:
+            self._note(f"kill {name}")
+            await asyncio.to_thread(self._process(name).kill)
+        await asyncio.sleep(duration_s)
+        await asyncio.gather(*(start(name) for name in taken))
+        for name in taken:
+            self._note(f"started {name}")
+            self._disturbed("kill", name, start_s, KILL_AFTERMATH_S)
+        self._busy.difference_update(taken)
+
+    async def _pause_node(self, duration_s: float) -> None:
+        await self._pause(self._subjects.node_ids, duration_s)
+
+    async def _pause_target(self, duration_s: float) -> None:
+        await self._pause(tuple(self._subjects.port_by_target), duration_s)
+
+    async def _pause(self, names: Sequence[str], duration_s: float) -> None:
+        for name in self._take(names):
+            start_s = time.monotonic()
+            self._note(f"pause {name}")
+            self._process(name).send(signal.SIGSTOP)
+            await asyncio.sleep(duration_s)
+            self._note(f"continue {name}")
+            self._process(name).send(signal.SIGCONT)
+            self._disturbed("pause", name, start_s, AFTERMATH_S)
+            self._busy.discard(name)
+
+    async def _terminate_node(self, duration_s: float) -> None:
+        names = [name for name in self._subjects.node_ids if not self._has_relay(name)]
+        for name in self._take(names):
+            await self._terminate(name, self._subjects.start_node)
+
+    def _has_relay(self, node_id: str) -> bool:
+        # A relay accepts connections for a node that is gone, which no host does.
+        return node_id in self._subjects.relay_by_node
+
+    async def _terminate_target(self, duration_s: float) -> None:
+        for name in self._take(tuple(self._subjects.port_by_target)):
+            await self._terminate(name, self._subjects.start_target)
+
+    async def _terminate(self, name: str, start: Callable[[str], Awaitable[None]]) -> None:
+        start_s = time.monotonic()
+        process = self._process(name)
+        self._note(f"terminate {name}")
+        process.send(signal.SIGTERM)
+        code = await asyncio.to_thread(process.wait, EXIT_TIMEOUT_S)
+        if code is None:
+            await asyncio.to_thread(process.kill)
+        self._note(f"exit {name} with code {code}")
+        self.ends.append(ProcessEnd(name, code, expected=True))
+        await start(name)
+        self.terminations.append(Window("terminate", name, start_s, time.monotonic()))
+        self._busy.discard(name)
+
+    def _process(self, name: str) -> Process:
+        return self._fleet.process_by_name[name]
+
+    async def _store_down(self, duration_s: float) -> None:
+        await self._fault_store("down", True, duration_s)
+
+    async def _store_slow(self, duration_s: float) -> None:
+        await self._fault_store("delay_ms", self._rng.choice((50, 300, 1500)), duration_s)
+
+    async def _store_loses_answers(self, duration_s: float) -> None:
+        await self._fault_store("lose_answers", self._rng.randint(1, 5), duration_s)
+
+    async def _fault_store(self, name: str, value: object, duration_s: float) -> None:
+        self._store_faults[name] = value
+        await self._put_store_faults()
+        await asyncio.sleep(duration_s)
+        self._store_faults.pop(name, None)
+        await self._put_store_faults()
+
+    async def _put_store_faults(self) -> None:
+        self._note(f"store {self._store_faults}")
+        address = self._fleet.store_address
+        await _put_json(address, "/v1/faults", dict(self._store_faults))
+
+    async def _freeze_target(self, duration_s: float) -> None:
+        await self._change_target({"frozen": True}, duration_s)
+
+    async def _cut_target(self, duration_s: float) -> None:
+        behaviour = self._rng.choice(
+            (
+                {"cut_after": 20},
+                {"cut_after": 70_000},
+                {"close_before_head": True},
+                {"crossed_id": "other"},
+            )
+        )
+        await self._change_target(behaviour, duration_s)
+
+    async def _change_target(self, behaviour: Mapping[str, object], duration_s: float) -> None:
+        for name in self._take(tuple(self._subjects.port_by_target)):
+            start_s = time.monotonic()
+            address = Address("127.0.0.1", self._subjects.port_by_target[name])
+            self._note(f"behaviour {name} {behaviour}")
+            await _put_json(address, "/behaviour", behaviour)
+            await asyncio.sleep(duration_s)
+            self._note(f"behaviour {name} as before")
+            await _put_json(address, "/behaviour", {})
+            self._disturbed("behaviour", name, start_s, AFTERMATH_S)
+            self._busy.discard(name)
+
+    async def _silence(self, duration_s: float) -> None:
+        for node_id, relay in self._subjects.relay_by_node.items():
+            start_s = time.monotonic()
+            self._note(f"silence {relay.silence()} connections to {node_id}")
+            self._disturbed("silence", node_id, start_s, SILENCE_AFTERMATH_S)
+
+
+async def _put_json(address: Address, path: str, value: Mapping[str, object]) -> None:
+    await asyncio.to_thread(http, "PUT", address, path, json.dumps(value).encode())
--- a/standins/processes.py
+++ b/standins/processes.py
@@ -21,13 +21,24 @@
 
 STOP_TIMEOUT_S = 15.0
 POLL_S = 0.02
+_given_addresses: set[Address] = set()
 
 
 def free_address() -> Address:
-    """Return a loopback address whose port the kernel says is free."""
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return Address("127.0.0.1", probe.getsockname()[1])
+    """Return a loopback address whose port the kernel says is free.
+
+    The kernel gives ports of 127.0.0.1 to outgoing connections, which took the port of a node
+    before it listened. The host therefore differs from 127.0.0.1, and for each caller process.
+    """
+    process = os.getpid()
+    host = f"127.{64 + (process >> 16) % 64}.{process >> 8 & 255}.{process & 255}"
+    while True:
+        with socket.socket() as probe:
+            probe.bind((host, 0))
+            address = Address(host, probe.getsockname()[1])
+        if address not in _given_addresses:  # the kernel may give a released port again
+            _given_addresses.add(address)
+            return address
 
 
 class Process:
@@ -83,6 +94,10 @@
     def stop(self) -> int | None:
         """End the process with SIGTERM, and with SIGKILL when it does not end in time."""
         self.send(signal.SIGTERM)
+        return self.wait_or_kill()
+
+    def wait_or_kill(self) -> int | None:
+        """Wait for the end, and end the process with SIGKILL when it does not come in time."""
         code = self.wait()
         if code is None:
             self.kill()
@@ -192,14 +207,12 @@
         for name in names:
             self.process_by_name[name].send(signal.SIGCONT)
             self.process_by_name[name].send(signal.SIGTERM)
-        loop = asyncio.get_running_loop()
-        stops = [
-            loop.run_in_executor(None, self.process_by_name[name].stop)
-            for name in [*names, "store"]
-            if name in self.process_by_name
-        ]
-        codes = await asyncio.gather(*stops)
-        return dict(zip([*names, "store"], codes, strict=False))
+        # A second SIGTERM would end a process that has drained and removed its signal handlers.
+        waits = [asyncio.to_thread(self.process_by_name[name].wait_or_kill) for name in names]
+        codes = dict(zip(names, await asyncio.gather(*waits), strict=True))
+        if "store" in self.process_by_name:
+            codes["store"] = await asyncio.to_thread(self.process_by_name["store"].stop)
+        return codes
 
 
 def http(
--- a/standins/target.py
+++ b/standins/target.py
@@ -12,6 +12,7 @@
 import json
 import signal
 import sys
+import time
 from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass, replace
@@ -69,13 +70,27 @@
 
 @dataclass(frozen=True, slots=True)
 class JournalEntry:
-    """A request that the target ran; `end` is ``done`` or ``cancelled``, empty while it runs."""
+    """A request that the target ran, or a change of the target itself.
+
+    Parameters
+    ----------
+    request_id, method, path : str
+        Request; empty for a change of the target.
+    body_bytes : int
+        Size of the request body.
+    end : str
+        ``done`` or ``cancelled``, empty while the request runs; ``started`` or ``draining`` for a
+        change of the target.
+    at_s : float
+        Wall-clock time of the start of the request or of the change.
+    """
 
     request_id: str
     method: str
     path: str
     body_bytes: int
     end: str = ""
+    at_s: float = 0.0
 
 
 class TargetConnection(asyncio.Protocol):
@@ -164,7 +179,7 @@
         self._running = True
         request_id = head.control.get(REQUEST_ID, b"").decode()
         self._entry = self._target.journal_start(
-            JournalEntry(request_id, head.method, head.target, self._body_bytes)
+            JournalEntry(request_id, head.method, head.target, self._body_bytes, at_s=time.time())
         )
         behaviour = self._target.behaviour
         if behaviour.frozen:
@@ -365,6 +380,10 @@
         if self._waiting:
             self.enqueue(self._waiting.popleft())
 
+    def journal_change(self, change: str) -> None:
+        """Note a change of the target itself, in the file only."""
+        self._print(JournalEntry("", "", "", 0, change, time.time()))
+
     def _print(self, entry: JournalEntry) -> None:
         if self._journal_file is not None:
             print(json.dumps(_as_object(entry)), file=self._journal_file, flush=True)
@@ -394,22 +413,22 @@
             await self._send("DELETE", b"")
         await self._pool.close()
 
-    async def announce(self) -> None:
-        """Announce the present state."""
+    async def announce(self) -> bool:
+        """Announce the present state and return whether the node took it."""
         content = {
             "service": self._target.service,
             "port": self._target.port,
             "slots": self._target.slots,
             "state": self.state,
         }
-        await self._send("PUT", json.dumps(content).encode())
+        return await self._send("PUT", json.dumps(content).encode())
 
     async def _run(self) -> None:
         while True:
             await self.announce()
             await asyncio.sleep(ANNOUNCE_INTERVAL_S)
 
-    async def _send(self, method: str, body: bytes) -> None:
+    async def _send(self, method: str, body: bytes) -> bool:
         head = RequestHead(
             method,
             f"/targets/{self._target.target_id}",
@@ -421,8 +440,9 @@
         outcome = await self._pool.request(self._admin, head, body, deadline)
         if isinstance(outcome, CallFailed):
             print(f"announcement failed: {outcome.kind}", file=sys.stderr, flush=True)
-        else:
-            await outcome.read()
+            return False
+        await outcome.read()
+        return outcome.head is not None and outcome.head.status < 300
 
 
 async def _serve(arguments: argparse.Namespace) -> None:
@@ -437,6 +457,7 @@
     )
     target.keep_journal = not arguments.no_journal
     port = await target.start(arguments.port)
+    target.journal_change("started")
     print(f"listening port={port}", flush=True)
     announcer = Announcer(target, arguments.admin) if arguments.admin else None
     if announcer is not None:
@@ -444,7 +465,8 @@
     await stop.wait()
     if announcer is not None:
         announcer.state = TargetState.DRAINING
-        await announcer.announce()
+        if await announcer.announce():
+            target.journal_change("draining")
         await asyncio.sleep(arguments.drain_s)
     await target.idle.wait()
     if announcer is not None:
