--- a/standins/processes.py
+++ b/standins/processes.py
@@ -158,7 +158,11 @@
         return self._start("store", "standins.store", arguments)
 
     def start_node(
-        self, place: NodePlace, flags: Sequence[str] = (), seeds: Sequence[NodePlace] = ()
+        self,
+        place: NodePlace,
+        flags: Sequence[str] = (),
+        seeds: Sequence[NodePlace] = (),
+        module: str = "jaypost.daemon",
     ) -> Process:
         """Start a node, again after it ended if need be."""
         self.place_by_id[place.node_id] = place
@@ -175,7 +179,7 @@
             *(("--seeds", ",".join(str(seed.control) for seed in seeds)) if seeds else ()),
             *flags,
         ]
-        return self._start(place.node_id, "jaypost.daemon", arguments)
+        return self._start(place.node_id, module, arguments)
 
     def start_target(
         self, target_id: str, service: str, node_id: str, slots: int, flags: Sequence[str] = ()
@@ -186,6 +190,7 @@
             *("--service", service),
             *("--slots", str(slots)),
             *("--admin", str(self.place_by_id[node_id].admin)),
+            *("--node", str(self.place_by_id[node_id].caller)),
             *("--journal", str(self.journal_path(target_id))),
             *flags,
         ]
