Give a restarting node the valid version below an invalid newest one

Cause: a node that restarted while the newest version was invalid received only that version, refused it and had nothing in force until the next valid change.

Change: join and fetch replies carry the version in force when the held one is refused and the deltas in between are kept; the deltas then bring the node to the held version.

--- a/bench/membership.py
+++ b/bench/membership.py
@@ -84,6 +84,11 @@
         """Return an empty table of the newest version."""
         return Table(self.held_version, {}, "")
 
+    @property
+    def shared_table(self) -> Table:
+        """Return the held table."""
+        return self.held_table
+
     def deltas_since(self, version: int) -> tuple[Delta, ...]:
         """Return the deltas after a version."""
         return tuple(self.deltas[version:])
--- a/jaypost/config.py
+++ b/jaypost/config.py
@@ -140,6 +140,18 @@
         """Rows of the newest version that the node has; they may be invalid."""
         return self._held
 
+    @property
+    def shared_table(self) -> Table:
+        """Table for nodes that have none: a valid one where there is one.
+
+        It is the version in force when the held one is refused and the deltas in between are
+        kept, so that a restarted node can serve while the newest version is invalid.
+        """
+        if self.refused is not None and self._in_force.version > 0:
+            if self.deltas_since(self._in_force.version):
+                return self._in_force
+        return self._held
+
     @property
     def in_force_version(self) -> int:
         """Version that requests use; 0 before the first one."""
--- a/jaypost/gossip.py
+++ b/jaypost/gossip.py
@@ -108,6 +108,10 @@
     def held_table(self) -> Table:
         """Return the table of the held version."""
 
+    @property
+    def shared_table(self) -> Table:
+        """Return the table for nodes that have none."""
+
     def deltas_since(self, version: int) -> tuple[Delta, ...] | None:
         """Return the deltas after a version, or None when a whole table is needed."""
 
@@ -814,7 +818,7 @@
         return JoinReply(
             self._own_id,
             self._holder.held_version,
-            self._join_server.table(self._holder.held_table),
+            self._join_server.table(self._holder.shared_table),
             await self._join_server.pieces(now),
             self._view.accusations(now),
             self._board.fresh(now) if same_domain else (),
@@ -823,7 +827,7 @@
     @_handle.register
     async def _(self, request: FetchTable) -> FetchTableReply:
         held = self._holder.held_version > 0
-        return FetchTableReply(self._holder.held_table if held else None)
+        return FetchTableReply(self._holder.shared_table if held else None)
 
     @_handle.register
     async def _(self, request: StatusRequest) -> StatusReply:
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -54,6 +54,10 @@
     def held_table(self) -> Table:
         return Table(self.held_version, {}, f"digest{self.held_version}")
 
+    @property
+    def shared_table(self) -> Table:
+        return self.held_table
+
     def deltas_since(self, version: int) -> tuple[Delta, ...] | None:
         if version < self.held_version - self.kept:
             return None
--- a/tests/test_config.py
+++ b/tests/test_config.py
@@ -100,6 +100,18 @@
     assert config.refused is None
 
 
+def test_restarted_node_gets_the_valid_version_below_an_invalid_one():
+    """Guards against a node that cannot serve because it restarted while a bad version was held."""
+    peer, restarted = holder(), holder()
+    offer(peer, 1, 2, BAD_VERSION)
+    restarted.suspend()
+    restarted.offer(OfferTable(peer.shared_table))
+    restarted.offer(OfferDeltas(peer.deltas_since(restarted.held_version)))
+    restarted.resume(BAD_VERSION)
+    restarted.activate()
+    assert (restarted.held_version, restarted.in_force_version) == (BAD_VERSION, 2)
+
+
 @pytest.mark.parametrize(
     ("offers", "outcome", "held", "in_force"),
     [
