Choose an ejected target when all others have just failed

When some targets of a service were ejected and each of the others had failed a moment ago, no target counted as working and the choice fell back to the tier of the ejected ones, whose weights were all zero. random.choices raised ValueError inside the connection callback, and the call ended without an answer. Such targets now have equal weights.

--- a/jaypost/placement.py
+++ b/jaypost/placement.py
@@ -452,6 +452,8 @@
         if len(free) == 1:
             return free[0]
         weights = [self._health.weight(item.target.target_id, now) for item in free]
+        if not any(weights):  # ejected targets are tried when all others have just failed
+            weights = [1.0] * len(free)
         first = self._rng.choices(range(len(free)), weights)[0]
         weights[first] = 0.0
         if not any(weights):
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -319,3 +319,14 @@
         assert answer.target.reachable or not untried
     else:
         assert answer.kind is ErrorKind.QUEUE_FULL
+
+
+def test_ejected_targets_are_chosen_when_the_others_have_just_failed():
+    """Guards against an exception, which leaves the caller without an answer."""
+    ingress = Ingress()
+    targets = LOCAL + NEAR
+    ingress.choose(targets)
+    ingress.eject(LOCAL)
+    for item in NEAR:
+        ingress.end(item, ErrorKind.CONNECT_FAILED)
+    assert set(ingress.chosen_ids(targets)) == {"a1", "a2"}
