--- a/bench/chaos_checks.py
+++ b/bench/chaos_checks.py
@@ -96,6 +96,8 @@
 
     Parameters
     ----------
+    unanswered : tuple of str
+        Calls in flight long after the end of the load.
     disturbances : tuple of Window
         Faults that may cut a call or leave its outcome unknown.
     terminations : tuple of Window
@@ -115,6 +117,7 @@
     """
 
     calls: tuple[SentCall, ...]
+    unanswered: tuple[str, ...]
     samples: tuple[Sample, ...]
     disturbances: tuple[Window, ...]
     terminations: tuple[Window, ...]
@@ -222,6 +225,8 @@
 
 def check_own_response(record: RunRecord) -> Iterator[Broken]:
     """P4: a response is the caller's own, and whole or visibly cut."""
+    for text in record.unanswered:
+        yield Broken("P4", f"no answer at all: {text}")
     for call in record.calls:
         result = call.result
         if not result.own:
