--- a/standins/processes.py
+++ b/standins/processes.py
@@ -75,7 +75,10 @@
     def start(self) -> None:
         """Start the process; its output is appended to the log file."""
         with self._log_path.open("ab") as log:
-            self._child = subprocess.Popen(self._command, stdout=log, stderr=log)
+            # A session of its own: a paused child in an orphaned process group got SIGHUP.
+            self._child = subprocess.Popen(
+                self._command, stdout=log, stderr=log, start_new_session=True
+            )
 
     def send(self, number: signal.Signals) -> None:
         """Send a signal."""
