Keep a draining target out of the choice while it finishes old work

An answer to a call that a target took before it refused cleared the memory of the refusal, so that under load a draining or restarted target was chosen again at once. Only an answer to an attempt sent after the refusal clears it.

--- a/jaypost/placement.py
+++ b/jaypost/placement.py
@@ -134,6 +134,7 @@
     hint_at: float = float("-inf")
     full_until: float = float("-inf")
     long_full_until: float = float("-inf")
+    failed_at: float = float("-inf")
     failed_until: float = float("-inf")
     queue_refused_at: float = float("-inf")
     inflight: int = 0
@@ -510,8 +511,9 @@
             if not event.long_work:
                 load.full_until = load.long_full_until
         elif event.kind in FAILED_KINDS:
-            load.failed_until = event.now + FAILED_MEMORY_S
-        else:
+            load.failed_at, load.failed_until = event.now, event.now + FAILED_MEMORY_S
+        elif event.now - event.latency_s >= load.failed_at:
+            # A draining target still answers what it took before it refused.
             load.failed_until = event.now
         self._learn(event, load, refused)
         self._health.observe(
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -249,6 +249,16 @@
     assert ingress.choose(LOCAL, tried=("a2",), long=True).may_queue
 
 
+@pytest.mark.parametrize(("latency_s", "is_used"), [(0.3, False), (0.05, True)])
+def test_answer_to_work_taken_before_a_failure_does_not_clear_it(latency_s, is_used):
+    # Guards against sending to a draining target while it finishes what it took earlier.
+    ingress = Ingress()
+    ingress.choose(LOCAL)
+    ingress.end(LOCAL[0], ErrorKind.DRAINING, None, now=1.0)
+    ingress.end(LOCAL[0], None, None, now=1.1, latency_s=latency_s)
+    assert ("a1" in ingress.chosen_ids(LOCAL, now=1.2)) is is_used
+
+
 def test_cold_target_gets_a_small_share():
     ingress = Ingress()
     ingress.choose(LOCAL)
