--- a/bench/service.py
+++ b/bench/service.py
@@ -511,6 +511,19 @@
             key = RunKey(scenario, bed.policy, repetition, segment.name)
             self._add(_figures(key, service, results, runs))
 
+    def compare(self) -> None:
+        """Print the 99th percentile of each load with a disturbance against the one without."""
+        p99_by_load = {(item.key, item.service): item.p99_ms for item in self.figures}
+        for (key, service), p99_ms in p99_by_load.items():
+            for reference in REFERENCES_BY_SEGMENT.get(key.segment, ()):
+                usual_ms = p99_by_load.get((replace(key, segment=reference), service))
+                if usual_ms:
+                    print(
+                        f"{key.policy:15} {service:11} repetition {key.repetition}: 99th percentile"
+                        f" of {key.segment} is {p99_ms / usual_ms:.2f} times {reference}"
+                        f" (aim: at most {P99_RATIO_AIM})"
+                    )
+
     def _add(self, figures: Figures) -> None:
         self.figures.append(figures)
         print(_line(figures), flush=True)
@@ -613,6 +626,8 @@
     return sum(start_s <= at_s < end_s for at_s in ends_s) / (end_s - start_s)
 
 
+REFERENCES_BY_SEGMENT = {"long": ("short-only", "steady"), "straggler": ("steady",)}
+P99_RATIO_AIM = 1.5
 HEADINGS = (
     f"{'policy':15} {'segment':28} {'service':11} {'calls':>6} {'good/s':>7} {'p50':>6} {'p99':>6}"
     f" {'p99.9':>6} {'late':>5} {'runs':>6}"
@@ -656,13 +671,18 @@
     arguments.directory = arguments.directory or Path(tempfile.mkdtemp(prefix="jaypost-service-"))
     print(f"seed {arguments.seed}, {arguments.deployment}, logs in {arguments.directory}")
     bench = Bench(arguments)
-    for scenario in RUN_BY_SCENARIO if arguments.scenario == "all" else [arguments.scenario]:
+    bench_scenarios = RUN_BY_SCENARIO if arguments.scenario == "all" else [arguments.scenario]
+    for scenario in bench_scenarios:
         print(f"--- {scenario}; latencies in ms\n{HEADINGS}", flush=True)
         uvloop.run(bench.run(scenario))
         if arguments.json:
-            arguments.json.write_text(
-                json.dumps([asdict(item) for item in bench.figures], indent=1)
-            )
+            content: dict[str, object] = {
+                "seed": arguments.seed,
+                "deployment": arguments.deployment,
+                "figures": [asdict(item) for item in bench.figures],
+            }
+            arguments.json.write_text(json.dumps(content, indent=1))
+    bench.compare()
 
 
 if __name__ == "__main__":
