--- a/jaypost/placement.py
+++ b/jaypost/placement.py
@@ -136,6 +136,7 @@
     hint_at: float = float("-inf")
     full_until: float = float("-inf")
     long_full_until: float = float("-inf")
+    failed_at: float = float("-inf")
     failed_until: float = float("-inf")
     broken_until: float = float("-inf")
     queue_refused_at: float = float("-inf")
@@ -532,8 +533,9 @@
         elif event.kind in BROKEN_KINDS:
             load.broken_until = event.now + FAILED_MEMORY_S
         elif event.kind in FAILED_KINDS:
-            load.failed_until = event.now + FAILED_MEMORY_S
-        else:
+            load.failed_at, load.failed_until = event.now, event.now + FAILED_MEMORY_S
+        elif event.now - event.latency_s >= load.failed_at:
+            # A draining target still answers what it took before it refused.
             load.failed_until = event.now
         self._learn(event, load, refused)
         self._health.observe(
