Split the check for draining targets out of the loop over waiting calls

Cause: mypy refused the second use of a variable name with another type.

Change: Egress._is_draining.

Result: mypy clean, tests of the egress pass.

--- a/jaypost/egress.py
+++ b/jaypost/egress.py
@@ -578,10 +578,13 @@
         self.handle(SetTargets(effective, now))
         for ticket in tuple(self.queued_tickets):
             call = self.call_by_ticket.get(ticket)
-            target = self.target_by_id.get(call.target_id) if call is not None else None
-            if call is not None and target is not None and target.state is TargetState.DRAINING:
+            if call is not None and self._is_draining(call.target_id):
                 call.leave_queue()
 
+    def _is_draining(self, target_id: str) -> bool:
+        target = self.target_by_id.get(target_id)
+        return target is not None and target.state is TargetState.DRAINING
+
     def _effective(self, target: Target, now: float) -> Target:
         if target.state is not TargetState.DRAINING:
             self._drains_at_by_id.pop(target.target_id, None)
