Name the region in seeds, so that joins stay off the link between regions

Cause: joining nodes preferred seeds of their own domain and took any other after that.

Change: a seed carries its region; seeds of the own region come second.

Result: the test of seeds reads the region back; tests of gossip pass on a quiet machine. Once, test_records_and_versions_reach_every_node failed while 200 processes were restarted beside it; the cause was not looked into beyond the rerun, which passed.

--- a/jaypost/daemon.py
+++ b/jaypost/daemon.py
@@ -159,7 +159,7 @@
             record, time.monotonic(), own.suspicion_s, own.readers_per_domain
         )
         channels = PeerChannels(own.connect_timeout_s)
-        seeds = StoreSeeds(self.store, own.failure_domain, own.node_id)
+        seeds = StoreSeeds(self.store, own.failure_domain, own.node_id, own.region)
         self.gossip = Gossip(own, self.view, self.holder, channels, self._rng, seeds)
         self.gossip.on_view_changed = self._on_view_changed
         self.gossip.status_problems = self._problems
--- a/jaypost/joining.py
+++ b/jaypost/joining.py
@@ -215,7 +215,14 @@
         seeds = list(listed) + [Seed("", address) for address in self._settings.seeds]
         seeds = [seed for seed in seeds if seed.address != own.control_address]
         self._rng.shuffle(seeds)
-        return sorted(seeds, key=lambda seed: seed.failure_domain != own.failure_domain)
+        # A join carries all records; across regions it goes over a link that is billed by volume.
+        return sorted(
+            seeds,
+            key=lambda seed: (
+                seed.failure_domain != own.failure_domain,
+                seed.region != own.region,
+            ),
+        )
 
     async def _try(self, seeds: Sequence[Seed]) -> _Attempt:
         busy_s: float | None = None
--- a/jaypost/seeds.py
+++ b/jaypost/seeds.py
@@ -60,6 +60,7 @@
 
     failure_domain: str
     address: Address
+    region: str = ""
 
 
 class SeedDirectory(Protocol):
@@ -84,10 +85,15 @@
         Client of the store.
     failure_domain, node_id : str
         The own node.
+    region : str
+        Region of the own node, written with its seed.
     """
 
-    def __init__(self, store: SeedStore, failure_domain: str, node_id: str) -> None:
+    def __init__(
+        self, store: SeedStore, failure_domain: str, node_id: str, region: str = ""
+    ) -> None:
         self._store = store
+        self._region = region
         self._key = f"{SEED_PREFIX}{failure_domain}/{node_id}"
         self._lease_id: str | None = None
 
@@ -100,7 +106,8 @@
         for entry in listed.entries:
             domain = entry.key.removeprefix(SEED_PREFIX).rpartition("/")[0]
             try:
-                seeds.append(Seed(domain, parse_address(bytes(entry.value).decode())))
+                address, _, region = entry.value.decode().partition(" ")
+                seeds.append(Seed(domain, parse_address(address), region))
             except ValueError as error:
                 log.warning("seed_malformed", key=entry.key, error=str(error))
         return tuple(seeds)
@@ -117,7 +124,8 @@
         granted = await self._store.grant_lease(SEED_LEASE_S)
         if not isinstance(granted, LeaseGranted):
             return False
-        stored = await self._store.put(self._key, str(address).encode(), None, granted.lease_id)
+        value = f"{address} {self._region}".strip().encode()
+        stored = await self._store.put(self._key, value, None, granted.lease_id)
         if not isinstance(stored, Stored):
             return False
         self._lease_id = granted.lease_id
--- a/tests/test_seeds.py
+++ b/tests/test_seeds.py
@@ -54,13 +54,13 @@
 async def test_seed_is_kept_renewed_and_withdrawn() -> None:
     """Guards against a reader whose seed vanishes with its lease, and one left by a leaver."""
     store = FakeStore()
-    seeds = StoreSeeds(store, "d1", "node")
+    seeds = StoreSeeds(store, "d1", "node", "addis")
     assert await seeds.keep(ADDRESS) and await seeds.keep(ADDRESS)
-    assert store.granted == 1 and await seeds.read() == (Seed("d1", ADDRESS),)
+    assert store.granted == 1 and await seeds.read() == (Seed("d1", ADDRESS, "addis"),)
     store.value_by_key.clear()
     store.leases.clear()
     assert await seeds.keep(ADDRESS) and store.granted == 2
-    assert await seeds.read() == (Seed("d1", ADDRESS),)
+    assert await seeds.read() == (Seed("d1", ADDRESS, "addis"),)
     await seeds.withdraw()
     assert store.value_by_key == {}
 
