--- a/jaypost/connections.py
+++ b/jaypost/connections.py
@@ -412,6 +412,20 @@
         )
         return Address(self._address.host, self._server.sockets[0].getsockname()[1])
 
+    async def drain(self, in_flight: InFlight, timeout_s: float) -> bool:
+        """Keep no connection after its call, wait for the calls in flight and stop listening.
+
+        Returns
+        -------
+        bool
+            Whether all calls ended within the timeout.
+        """
+        self.draining = True
+        done = await in_flight.wait_empty(timeout_s)
+        self.stop_listening()
+        self.close_idle()
+        return done
+
     def stop_listening(self) -> None:
         """Close the listening socket; open connections stay."""
         if self._server is not None:
--- a/jaypost/egress.py
+++ b/jaypost/egress.py
@@ -620,11 +620,7 @@
         """
         await asyncio.sleep(self.settings.drain_delay_s)
         self.refusing = True
-        self._server.draining = True
-        done = await self.in_flight.wait_empty(self.settings.drain_timeout_s)
-        self._server.stop_listening()
-        self._server.close_idle()
-        return done
+        return await self._server.drain(self.in_flight, self.settings.drain_timeout_s)
 
     async def close(self) -> None:
         """Close all sockets; calls in flight are cancelled."""
