Share the readings of nodes between demo and bench, and name the control bytes rightly

Cause: the demo and bench.node_cost held the same two functions, and the demo called bytes "sent" that the metric counts in both directions.

Change: control_bytes and version_of stand in standins/processes.py; the demo prints "sent and received".

The tests were not run again: no module of jaypost/ or tests/ changed.

--- a/bench/node_cost.py
+++ b/bench/node_cost.py
@@ -26,7 +26,16 @@
 from jaypost.store import StoreClient
 from jaypost.table import parse_row
 from jaypost.writers import Accepted, TableEdit, TableWriter
-from standins.processes import Fleet, NodePlace, http, http_json, place_node, wait_until
+from standins.processes import (
+    Fleet,
+    NodePlace,
+    control_bytes,
+    http,
+    http_json,
+    place_node,
+    version_of,
+    wait_until,
+)
 
 DOMAINS = (("a1", "a"), ("a2", "a"), ("b1", "b"), ("b2", "b"))
 READY_TIMEOUT_S = 180.0
@@ -146,17 +155,6 @@
     )
 
 
-def control_bytes(places: Sequence[NodePlace]) -> float:
-    """Sum the control bytes of all nodes."""
-    total = 0.0
-    for place in places:
-        _, body = http("GET", place.admin, "/metrics")
-        for line in body.decode().splitlines():
-            if line.startswith("jaypost_control_bytes_total{"):
-                total += float(line.rpartition(" ")[2])
-    return total
-
-
 def store_calls(fleet: Fleet) -> int:
     """Return the calls that the store has counted."""
     stats = http_json(fleet.store_address, "/v1/stats")
@@ -182,12 +180,6 @@
     return Convergence(len(places), round(statistics.median(times), 3), round(max(times), 3))
 
 
-def version_of(place: NodePlace) -> int:
-    """Return the version in force on a node; 0 when it does not answer."""
-    status = http_json(place.admin, "/status")
-    return int(status["in_force_version"]) if status else 0
-
-
 class CallSampler:
     """Thread that samples the number of store calls."""
 
--- a/standins/demo.py
+++ b/standins/demo.py
@@ -21,7 +21,17 @@
 import uvloop
 
 from standins.caller import Caller, CallPlan, CallResult
-from standins.processes import Fleet, NodePlace, Process, http, http_json, place_node, wait_until
+from standins.processes import (
+    Fleet,
+    NodePlace,
+    Process,
+    control_bytes,
+    http,
+    http_json,
+    place_node,
+    version_of,
+    wait_until,
+)
 
 DOMAINS = (("addis-a", "addis"), ("addis-b", "addis"), ("dire-a", "dire"), ("dire-b", "dire"))
 NODES = 8
@@ -68,12 +78,6 @@
     return subprocess.run(command, env=environment, capture_output=True, text=True, check=False)
 
 
-def version_of(place: NodePlace) -> int:
-    """Return the version in force on a node; 0 when it does not answer."""
-    status = http_json(place.admin, "/status")
-    return int(status["in_force_version"]) if status else 0
-
-
 def can_answer(place: NodePlace) -> bool:
     """Tell whether a node is ready and knows the targets of each service."""
     if http("GET", place.admin, "/readyz")[0] != 200:
@@ -83,17 +87,6 @@
     return len(targets) == NODES
 
 
-def control_bytes(places: Sequence[NodePlace]) -> int:
-    """Sum the control bytes that the nodes sent."""
-    total = 0.0
-    for place in places:
-        _, body = http("GET", place.admin, "/metrics")
-        for line in body.decode().splitlines():
-            if line.startswith("jaypost_control_bytes_total{"):
-                total += float(line.rpartition(" ")[2])
-    return int(total)
-
-
 def start(fleet: Fleet) -> list[NodePlace]:
     """Start the store, the nodes and the targets, and wait until calls can be answered."""
     fleet.start_store()
@@ -191,7 +184,7 @@
     say("--- figures")
     spread = "none" if figures.convergence_s is None else f"{figures.convergence_s:.3f} s"
     say(f"convergence of the edited row on all nodes: {spread}")
-    say(f"control bytes sent by all nodes: {figures.control_bytes}")
+    say(f"control bytes sent and received by all nodes: {figures.control_bytes}")
     say(f"calls: {len(figures.results)}, not answered with 200: {dict(errors)}")
     say(f"responses of another request: {sum(not r.own for r in figures.results)}")
     say(f"non-repeatable requests run twice: {figures.run_twice}")
@@ -213,7 +206,7 @@
         places = start(fleet)
         load_table(fleet, places)
         convergence_s, caller = await load_with_faults(fleet, places)
-        sent_bytes = control_bytes(places)
+        control_total = int(control_bytes(places))
         store_calls = http_json(fleet.store_address, "/v1/stats") or {}
         say(jaypost(fleet, "status").stdout)
         say(jaypost(fleet, "explain", "portal").stdout)
@@ -226,7 +219,7 @@
         results,
         sum(ran[result.request_id] > 1 for result in results if result.method == "POST"),
         sum(ran[result.request_id] > 0 for result in results if result.run == "not-run"),
-        sent_bytes,
+        control_total,
         store_calls,
         codes,
     )
--- a/standins/processes.py
+++ b/standins/processes.py
@@ -249,6 +249,23 @@
     return json.loads(body) if status == 200 else None
 
 
+def version_of(place: NodePlace) -> int:
+    """Return the version in force on a node; 0 when it does not answer."""
+    status = http_json(place.admin, "/status")
+    return int(status["in_force_version"]) if status else 0
+
+
+def control_bytes(places: Sequence[NodePlace]) -> float:
+    """Sum the control bytes that the nodes sent and received."""
+    total = 0.0
+    for place in places:
+        _, body = http("GET", place.admin, "/metrics")
+        for line in body.decode().splitlines():
+            if line.startswith("jaypost_control_bytes_total{"):
+                total += float(line.rpartition(" ")[2])
+    return total
+
+
 def wait_until(condition: Callable[[], bool], timeout_s: float) -> float | None:
     """Poll `condition` and return the seconds until it held; None when it did not in time."""
     started = time.monotonic()
