--- /dev/null
+++ b/jaypost/codecs.py
@@ -0,0 +1,835 @@
+"""HTTP/1.1 codecs: bytes to typed events and back, by h11 or by httptools.
+
+The rules that decide where a message ends are checked here, before and after the library, so that
+both libraries accept exactly the same input. Pipelining is not supported: bytes that follow the
+end of a message are reported by `surplus`, and the owner closes the connection after its answer.
+"""
+
+from __future__ import annotations
+
+import re
+from abc import ABC, abstractmethod
+from collections.abc import Iterable
+from dataclasses import dataclass
+from enum import Enum, auto
+from functools import lru_cache
+from http import HTTPStatus
+
+import h11
+import httptools
+
+from jaypost.errors import ErrorKind
+from jaypost.settings import HttpCodec
+
+Header = tuple[bytes, bytes]
+
+METHODS = frozenset({"GET", "HEAD", "POST", "PUT", "PATCH", "DELETE", "OPTIONS", "TRACE"})
+
+_CONTROL_NAMES = frozenset({b"host", b"x-request-id", b"idempotency-key"})
+_CONTROL_PREFIX = b"x-jaypost-"
+# Headers of one hop only (RFC 9110, 7.6.1). The codec reads or drops them; no head carries them.
+_HOP_NAMES = frozenset(
+    {
+        b"connection",
+        b"content-length",
+        b"expect",
+        b"http2-settings",
+        b"keep-alive",
+        b"proxy-connection",
+        b"te",
+        b"trailer",
+        b"transfer-encoding",
+        b"upgrade",
+    }
+)
+_PATH = re.compile(r"/[!-~]*")
+_LENGTH = re.compile(rb"[0-9]{1,18}")
+_HOST = re.compile(rb"[A-Za-z0-9._~:\[\]%-]*")
+_BODYLESS_STATUSES = frozenset({HTTPStatus.NO_CONTENT, HTTPStatus.NOT_MODIFIED})
+
+
+@dataclass(frozen=True, slots=True)
+class RequestHead:
+    """Request line and headers of a request.
+
+    Parameters
+    ----------
+    method : str
+        One of `METHODS`.
+    target : str
+        Request target as sent.
+    control : dict of bytes to bytes
+        Headers that jaypost itself reads (host, x-request-id, idempotency-key, x-jaypost-*), each
+        of which may be sent once only.
+    headers : list of Header
+        All other end-to-end headers, with names in lower case.
+    content_length : int or None
+        Length of the body, when it is announced.
+    chunked : bool
+        Whether the body is sent in chunks.
+    keep_alive : bool
+        Whether the sender keeps the connection open.
+    expect_continue : bool
+        Whether the sender waits for ``100 Continue`` before the body.
+    http_1_0 : bool
+        Whether the sender speaks HTTP/1.0 and therefore cannot read chunks.
+    """
+
+    method: str
+    target: str
+    control: dict[bytes, bytes]
+    headers: list[Header]
+    content_length: int | None = None
+    chunked: bool = False
+    keep_alive: bool = True
+    expect_continue: bool = False
+    http_1_0: bool = False
+
+    @property
+    def has_body(self) -> bool:
+        """Tell whether a body follows the head."""
+        return self.chunked or bool(self.content_length)
+
+
+@dataclass(frozen=True, slots=True)
+class ResponseHead:
+    """Status and headers of a response.
+
+    `control`, `headers`, `content_length`, `chunked` and `keep_alive` are as in `RequestHead`. A
+    response that has neither a length nor chunks ends with its connection; the server codec sends
+    such a response in chunks when the client can read them.
+    """
+
+    status: int
+    control: dict[bytes, bytes]
+    headers: list[Header]
+    content_length: int | None = None
+    chunked: bool = False
+    keep_alive: bool = True
+
+
+@dataclass(frozen=True, slots=True)
+class BodyChunk:
+    """A part of a body, without any framing."""
+
+    data: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class MessageEnd:
+    """The message is complete."""
+
+
+@dataclass(frozen=True, slots=True)
+class ContinueReceived:
+    """The server asks for the body of the request."""
+
+
+@dataclass(frozen=True, slots=True)
+class ProtocolFault:
+    """The other side broke the protocol; nothing more is read from the connection."""
+
+    kind: ErrorKind
+    reason: str
+
+
+Event = RequestHead | ResponseHead | BodyChunk | MessageEnd | ContinueReceived | ProtocolFault
+
+_END = MessageEnd()
+_CONTINUE = ContinueReceived()
+
+
+class _RefusedError(Exception):
+    """Carries a fault out of the parsing functions; never leaves this module."""
+
+    def __init__(self, reason: str, kind: ErrorKind = ErrorKind.BAD_REQUEST) -> None:
+        super().__init__(reason)
+        self.fault = ProtocolFault(kind, reason)
+
+
+class _Phase(Enum):
+    HEAD = auto()
+    BODY = auto()
+    DONE = auto()
+    FAILED = auto()
+
+
+@dataclass(slots=True)
+class _Fields:
+    """Headers of a head, sorted by who reads them."""
+
+    control: dict[bytes, bytes]
+    headers: list[Header]
+    content_length: int | None
+    chunked: bool
+    keep_alive: bool
+    expect_continue: bool
+
+
+def _sort_headers(raw: Iterable[Header], http_1_0: bool) -> _Fields:
+    control: dict[bytes, bytes] = {}
+    headers: list[Header] = []
+    hop: dict[bytes, bytes] = {}
+    for name, value in raw:
+        if name in _HOP_NAMES:
+            if name in hop:
+                if name in (b"content-length", b"transfer-encoding", b"expect"):
+                    raise _RefusedError(f"header {name.decode()} is repeated")
+                value = hop[name] + b", " + value
+            hop[name] = value
+        elif name in _CONTROL_NAMES or name.startswith(_CONTROL_PREFIX):
+            if name in control:
+                raise _RefusedError(f"header {name.decode()} is repeated")
+            control[name] = value
+        else:
+            headers.append((name, value))
+    if not hop:
+        return _Fields(control, headers, None, False, not http_1_0, False)
+    tokens = {part.strip() for part in hop.get(b"connection", b"").lower().split(b",")}
+    # A header that Connection lists is of this hop; headers that jaypost reads cannot be dropped
+    # this way, because a caller could then remove what the previous node added.
+    listed = tokens - {b"close", b"keep-alive", b"upgrade", b""}
+    if listed:
+        headers = [header for header in headers if header[0] not in listed]
+    return _Fields(
+        control,
+        headers,
+        _content_length(hop),
+        _is_chunked(hop, http_1_0),
+        (b"keep-alive" in tokens) if http_1_0 else (b"close" not in tokens),
+        _expects_continue(hop),
+    )
+
+
+def _content_length(hop: dict[bytes, bytes]) -> int | None:
+    value = hop.get(b"content-length")
+    if value is None:
+        return None
+    if b"transfer-encoding" in hop:
+        raise _RefusedError("content-length and transfer-encoding are both given")
+    if not _LENGTH.fullmatch(value):
+        raise _RefusedError("content-length is not one number")
+    return int(value)
+
+
+def _is_chunked(hop: dict[bytes, bytes], http_1_0: bool) -> bool:
+    value = hop.get(b"transfer-encoding")
+    if value is None:
+        return False
+    if http_1_0:
+        raise _RefusedError("transfer-encoding is not part of HTTP/1.0")
+    if value.lower() != b"chunked":
+        raise _RefusedError("transfer-encoding is not chunked")
+    return True
+
+
+def _expects_continue(hop: dict[bytes, bytes]) -> bool:
+    value = hop.get(b"expect")
+    if value is None:
+        return False
+    if value.lower() != b"100-continue":
+        raise _RefusedError("expect is not 100-continue")
+    return True
+
+
+def _is_http_1_0(version: str) -> bool:
+    if version not in ("1.0", "1.1"):
+        raise _RefusedError(f"HTTP version {version} is not supported")
+    return version == "1.0"
+
+
+def _build_request(method: str, target: bytes, version: str, raw: Iterable[Header]) -> RequestHead:
+    if method not in METHODS:
+        raise _RefusedError(f"method {method[:20]!r} is not supported")
+    text = target.decode("latin-1")
+    if not _PATH.fullmatch(text) and (method, text) != ("OPTIONS", "*"):
+        raise _RefusedError("the request target is not a path")
+    http_1_0 = _is_http_1_0(version)
+    fields = _sort_headers(raw, http_1_0)
+    host = fields.control.get(b"host")
+    if host is None and not http_1_0:
+        raise _RefusedError("header host is missing")
+    if host is not None and not _HOST.fullmatch(host):
+        raise _RefusedError("header host is not a host name")
+    return RequestHead(
+        method,
+        text,
+        fields.control,
+        fields.headers,
+        fields.content_length,
+        fields.chunked,
+        fields.keep_alive,
+        fields.expect_continue and not http_1_0,
+        http_1_0,
+    )
+
+
+def _build_response(status: int, version: str, raw: Iterable[Header]) -> ResponseHead:
+    if not 100 <= status <= 599:
+        raise _RefusedError(f"status {status} is out of range")
+    if status == HTTPStatus.SWITCHING_PROTOCOLS:
+        raise _RefusedError("the protocol was switched without being asked")
+    fields = _sort_headers(raw, _is_http_1_0(version))
+    return ResponseHead(
+        status,
+        fields.control,
+        fields.headers,
+        fields.content_length,
+        fields.chunked,
+        fields.keep_alive,
+    )
+
+
+def _check_lines(head: bytes) -> None:
+    lines = head.count(b"\r\n")
+    if head.count(b"\n") != lines or head.count(b"\r") != lines:
+        raise _RefusedError("a line does not end with CRLF")
+    if b"\n " in head or b"\n\t" in head:
+        raise _RefusedError("a header is folded over several lines")
+
+
+class Codec(ABC):
+    """One side of one HTTP connection, without input or output.
+
+    Parameters
+    ----------
+    header_limit : int
+        Largest head in bytes, and largest run of chunk framing without content.
+
+    Attributes
+    ----------
+    surplus : bool
+        Whether bytes followed the end of a message.
+    closing : bool
+        Whether either side announced that the connection closes after this exchange.
+    """
+
+    __slots__ = ("_buffer", "_framing_bytes", "_header_limit", "_phase", "closing", "surplus")
+
+    def __init__(self, header_limit: int) -> None:
+        self._header_limit = header_limit
+        self._buffer = b""
+        self._phase = _Phase.HEAD
+        self._framing_bytes = 0
+        self.surplus = False
+        self.closing = False
+
+    def receive(self, data: bytes) -> list[Event]:
+        """Decode bytes that arrived."""
+        events: list[Event] = []
+        try:
+            self._decode(data, events)
+        except _RefusedError as refused:
+            self._phase = _Phase.FAILED
+            events.append(refused.fault)
+        return events
+
+    def receive_eof(self) -> list[Event]:
+        """Decode the end of the stream."""
+        if self._phase is _Phase.BODY:
+            if self._ends_with_connection():
+                self._phase = _Phase.DONE
+                return [_END]
+            self._phase = _Phase.FAILED
+            return [ProtocolFault(ErrorKind.ANSWER_CUT, "the connection ended inside a body")]
+        if self._phase is _Phase.HEAD and self._buffer:
+            self._phase = _Phase.FAILED
+            return [ProtocolFault(ErrorKind.BAD_REQUEST, "the connection ended inside a head")]
+        return []
+
+    @property
+    def head_pending(self) -> bool:
+        """Tell whether a part of a head was received."""
+        return self._phase is _Phase.HEAD and bool(self._buffer)
+
+    @property
+    def message_done(self) -> bool:
+        """Tell whether the whole message of the other side was received."""
+        return self._phase is _Phase.DONE
+
+    def next_message(self) -> None:
+        """Get ready for the next message, after both sides of the exchange are complete."""
+        self._phase = _Phase.HEAD
+        self._framing_bytes = 0
+
+    def _decode(self, data: bytes, events: list[Event]) -> None:
+        while True:
+            if self._phase is _Phase.HEAD:
+                head, data = self._split_head(data)
+                if not head:
+                    return
+                event = self._parse_head(head)
+                events.append(event)
+                if event is _CONTINUE:
+                    continue
+                self._phase = _Phase.BODY
+            elif self._phase is _Phase.BODY:
+                self._decode_body(data, events)
+                return
+            else:
+                self.surplus = self.surplus or bool(data)
+                return
+
+    def _split_head(self, data: bytes) -> tuple[bytes, bytes]:
+        if self._buffer:
+            data = self._buffer + data
+        if data.startswith(b"\r\n"):
+            data = data[2:]  # RFC 9112, 2.2: an empty line before a message is ignored
+        end = data.find(b"\r\n\r\n")
+        if (end if end >= 0 else len(data)) > self._header_limit:
+            raise _RefusedError("the head is too large", ErrorKind.HEADERS_TOO_LARGE)
+        if end < 0:
+            _check_lines(data.removesuffix(b"\r"))
+            self._buffer = data
+            return b"", b""
+        self._buffer = b""
+        head = data[: end + 4]
+        _check_lines(head)
+        return head, data[end + 4 :]
+
+    def _count_framing(self, received: int, content: bool) -> None:
+        # Chunk extensions and trailers are dropped, and bounded like a head.
+        self._framing_bytes = 0 if content else self._framing_bytes + received
+        if self._framing_bytes > self._header_limit:
+            raise _RefusedError("chunk framing is too large", ErrorKind.HEADERS_TOO_LARGE)
+
+    @abstractmethod
+    def _parse_head(self, head: bytes) -> Event: ...
+
+    @abstractmethod
+    def _decode_body(self, data: bytes, events: list[Event]) -> None: ...
+
+    @abstractmethod
+    def _ends_with_connection(self) -> bool: ...
+
+    @abstractmethod
+    def encode_body(self, data: bytes) -> bytes:
+        """Encode a part of the body."""
+
+    @abstractmethod
+    def encode_end(self) -> bytes:
+        """Encode the end of the message."""
+
+
+class ServerCodec(Codec):
+    """The side that receives requests and sends responses."""
+
+    __slots__ = ()
+
+    @abstractmethod
+    def encode_response(self, head: ResponseHead) -> bytes:
+        """Encode the head of a response to the request received last."""
+
+    def encode_continue(self) -> bytes:
+        """Encode the request for the body."""
+        return b"HTTP/1.1 100 Continue\r\n\r\n"
+
+
+class ClientCodec(Codec):
+    """The side that sends requests and receives responses."""
+
+    __slots__ = ()
+
+    @abstractmethod
+    def encode_request(self, head: RequestHead) -> bytes:
+        """Encode the head of a request."""
+
+
+# httptools
+
+
+class _ChunkDecoder:
+    """Decodes a chunked body by a parser that was given an empty head of its own."""
+
+    __slots__ = ("_parser", "content", "ended", "surplus")
+
+    def __init__(self) -> None:
+        self._parser = httptools.HttpRequestParser(self)
+        self.ended = False
+        self.surplus = False
+        self.content: list[bytes] = []
+        self._parser.feed_data(b"POST / HTTP/1.1\r\ntransfer-encoding: chunked\r\n\r\n")
+
+    def on_message_begin(self) -> None:
+        self.surplus = self.ended
+
+    def on_body(self, data: bytes) -> None:
+        if not self.ended:
+            self.content.append(data)
+
+    def on_message_complete(self) -> None:
+        self.ended = True
+
+    def feed(self, data: bytes) -> list[bytes]:
+        try:
+            self._parser.feed_data(data)
+        except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
+            if not self.ended:
+                raise _RefusedError(f"malformed chunk: {error}") from None
+            self.surplus = True
+        content, self.content = self.content, []
+        return content
+
+
+class _HttptoolsCodec(Codec):
+    """Framing shared by both sides of the httptools implementation."""
+
+    __slots__ = ("_chunked_out", "_chunks", "_remaining")
+
+    def __init__(self, header_limit: int) -> None:
+        super().__init__(header_limit)
+        self._remaining: int | None = 0
+        self._chunks: _ChunkDecoder | None = None
+        self._chunked_out = False
+
+    def _expect_body(self, length: int | None, chunked: bool) -> None:
+        self._remaining = length
+        self._chunks = _ChunkDecoder() if chunked else None
+
+    def _ends_with_connection(self) -> bool:
+        return self._chunks is None and self._remaining is None
+
+    def _decode_body(self, data: bytes, events: list[Event]) -> None:
+        if self._chunks is not None:
+            self._decode_chunks(self._chunks, data, events)
+            return
+        if self._remaining is None:
+            if data:
+                events.append(BodyChunk(data))
+            return
+        if len(data) > self._remaining:
+            self.surplus = True
+            data = data[: self._remaining]
+        if data:
+            self._remaining -= len(data)
+            events.append(BodyChunk(data))
+        if not self._remaining:
+            self._phase = _Phase.DONE
+            events.append(_END)
+
+    def _decode_chunks(self, chunks: _ChunkDecoder, data: bytes, events: list[Event]) -> None:
+        content = chunks.feed(data)
+        events.extend(map(BodyChunk, content))
+        if chunks.ended:
+            self.surplus = self.surplus or chunks.surplus
+            self._phase = _Phase.DONE
+            events.append(_END)
+            return
+        self._count_framing(len(data), bool(content))
+
+    def encode_body(self, data: bytes) -> bytes:
+        if self._chunked_out and data:
+            return b"%x\r\n%b\r\n" % (len(data), data)
+        return data
+
+    def encode_end(self) -> bytes:
+        return b"0\r\n\r\n" if self._chunked_out else b""
+
+
+class _HeadCollector:
+    """Callbacks of a parser that reads one head."""
+
+    __slots__ = ("headers", "url")
+
+    def __init__(self) -> None:
+        self.url = b""
+        self.headers: list[Header] = []
+
+    def on_url(self, url: bytes) -> None:
+        self.url += url
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        self.headers.append((name.lower(), value))
+
+
+@lru_cache(maxsize=600)
+def _status_line(status: int) -> bytes:
+    try:
+        phrase = HTTPStatus(status).phrase
+    except ValueError:
+        phrase = "Status"
+    return f"HTTP/1.1 {status} {phrase}\r\n".encode()
+
+
+def _encode_head(
+    first_line: bytes, head: RequestHead | ResponseHead, framing: bytes, closing: bool
+) -> bytes:
+    parts = [first_line]
+    parts += [b"%b: %b\r\n" % header for header in head.control.items()]
+    parts += [b"%b: %b\r\n" % header for header in head.headers]
+    parts.append(framing)
+    parts.append(b"connection: close\r\n\r\n" if closing else b"\r\n")
+    return b"".join(parts)
+
+
+class HttptoolsServerCodec(_HttptoolsCodec, ServerCodec):
+    """Server side by httptools."""
+
+    __slots__ = ("_request",)
+
+    def __init__(self, header_limit: int) -> None:
+        super().__init__(header_limit)
+        self._request: RequestHead | None = None
+
+    def next_message(self) -> None:
+        """Get ready for the next request."""
+        super().next_message()
+        self._request = None
+
+    def _parse_head(self, head: bytes) -> Event:
+        collector = _HeadCollector()
+        parser = httptools.HttpRequestParser(collector)
+        try:
+            parser.feed_data(head)
+        except httptools.HttpParserUpgrade:
+            pass  # an offer to switch the protocol may be ignored
+        except httptools.HttpParserError as error:
+            raise _RefusedError(f"malformed request: {error}") from None
+        method = parser.get_method().decode("latin-1")
+        request = _build_request(
+            method, collector.url, parser.get_http_version(), collector.headers
+        )
+        self._request = request
+        self._expect_body(request.content_length or 0, request.chunked)
+        return request
+
+    def encode_response(self, head: ResponseHead) -> bytes:
+        """Encode the head of a response."""
+        request = self._request
+        closing = not head.keep_alive or request is None or not request.keep_alive
+        self._chunked_out = False
+        framing = b""
+        if head.content_length is not None:
+            framing = b"content-length: %d\r\n" % head.content_length
+        elif head.status in _BODYLESS_STATUSES:
+            pass
+        elif request is not None and not request.http_1_0:
+            self._chunked_out = request.method != "HEAD"
+            framing = b"transfer-encoding: chunked\r\n"
+        else:
+            closing = True
+        self.closing = closing
+        return _encode_head(_status_line(head.status), head, framing, closing)
+
+
+class HttptoolsClientCodec(_HttptoolsCodec, ClientCodec):
+    """Client side by httptools."""
+
+    __slots__ = ("_method",)
+
+    def __init__(self, header_limit: int) -> None:
+        super().__init__(header_limit)
+        self._method = ""
+
+    def _parse_head(self, head: bytes) -> Event:
+        collector = _HeadCollector()
+        parser = httptools.HttpResponseParser(collector)
+        try:
+            parser.feed_data(head)
+        except httptools.HttpParserUpgrade:
+            raise _RefusedError("the protocol was switched without being asked") from None
+        except httptools.HttpParserError as error:
+            raise _RefusedError(f"malformed response: {error}") from None
+        response = _build_response(
+            parser.get_status_code(), parser.get_http_version(), collector.headers
+        )
+        if response.status < HTTPStatus.OK:
+            return _CONTINUE
+        self.closing = self.closing or not response.keep_alive
+        bodyless = self._method == "HEAD" or response.status in _BODYLESS_STATUSES
+        self._expect_body(
+            0 if bodyless else response.content_length, response.chunked and not bodyless
+        )
+        return response
+
+    def encode_request(self, head: RequestHead) -> bytes:
+        """Encode the head of a request."""
+        self._method = head.method
+        self._chunked_out = head.chunked
+        framing = b""
+        if head.chunked:
+            framing = b"transfer-encoding: chunked\r\n"
+        elif head.content_length is not None:
+            framing = b"content-length: %d\r\n" % head.content_length
+        if head.expect_continue:
+            framing += b"expect: 100-continue\r\n"
+        first_line = f"{head.method} {head.target} HTTP/1.1\r\n".encode("latin-1")
+        return _encode_head(first_line, head, framing, not head.keep_alive)
+
+
+# h11
+
+
+class _H11Codec(Codec):
+    """Framing shared by both sides of the h11 implementation."""
+
+    __slots__ = ("_connection", "_until_close")
+
+    _role: type[h11.CLIENT] | type[h11.SERVER]
+
+    def __init__(self, header_limit: int) -> None:
+        super().__init__(header_limit)
+        self._connection = self._new_connection()
+        self._until_close = False
+
+    def _new_connection(self) -> h11.Connection:
+        # The head limit is enforced before h11 sees the head; h11's own is left without effect.
+        return h11.Connection(self._role, max_incomplete_event_size=2 * self._header_limit)
+
+    def _ends_with_connection(self) -> bool:
+        return self._until_close
+
+    def _feed_head(self, head: bytes) -> h11.Event:
+        lowered = head.lower()
+        # h11 merges repeated and listed lengths into one before they can be checked.
+        if lowered.count(b"\r\ncontent-length:") > 1:
+            raise _RefusedError("header content-length is repeated")
+        for line in lowered.split(b"\r\n"):
+            if line.startswith(b"content-length:") and b"," in line:
+                raise _RefusedError("content-length is not one number")
+        try:
+            self._connection.receive_data(head)
+            event = self._connection.next_event()
+        except h11.RemoteProtocolError as error:
+            raise _RefusedError(f"malformed head: {error}") from None
+        if not isinstance(event, h11.Request | h11.Response | h11.InformationalResponse):
+            raise _RefusedError("malformed head")
+        return event
+
+    def _decode_body(self, data: bytes, events: list[Event]) -> None:
+        content = False
+        try:
+            if data:
+                self._connection.receive_data(data)
+            while True:
+                event = self._connection.next_event()
+                if isinstance(event, h11.Data):
+                    content = True
+                    events.append(BodyChunk(bytes(event.data)))
+                elif isinstance(event, h11.EndOfMessage):
+                    self.surplus = self.surplus or bool(self._connection.trailing_data[0])
+                    self._phase = _Phase.DONE
+                    events.append(_END)
+                    return
+                else:
+                    break
+        except h11.RemoteProtocolError as error:
+            raise _RefusedError(f"malformed body: {error}") from None
+        self._count_framing(len(data), content)
+
+    def next_message(self) -> None:
+        super().next_message()
+        try:
+            self._connection.start_next_cycle()
+        except h11.LocalProtocolError:
+            self._connection = self._new_connection()
+
+    def _encode(self, event: h11.Event) -> bytes:
+        return self._connection.send(event) or b""
+
+    def encode_body(self, data: bytes) -> bytes:
+        return self._encode(h11.Data(data=data)) if data else b""
+
+    def encode_end(self) -> bytes:
+        return self._encode(h11.EndOfMessage())
+
+
+class H11ServerCodec(_H11Codec, ServerCodec):
+    """Server side by h11."""
+
+    __slots__ = ("_request",)
+
+    _role = h11.SERVER
+
+    def __init__(self, header_limit: int) -> None:
+        super().__init__(header_limit)
+        self._request: RequestHead | None = None
+
+    def next_message(self) -> None:
+        """Get ready for the next request."""
+        super().next_message()
+        self._request = None
+
+    def _parse_head(self, head: bytes) -> Event:
+        event = self._feed_head(head)
+        assert isinstance(event, h11.Request)
+        self._request = _build_request(
+            event.method.decode(), event.target, event.http_version.decode(), event.headers
+        )
+        return self._request
+
+    def encode_response(self, head: ResponseHead) -> bytes:
+        """Encode the head of a response."""
+        headers = [*head.control.items(), *head.headers]
+        request = self._request
+        if head.content_length is not None:
+            headers.append((b"content-length", b"%d" % head.content_length))
+        elif head.status not in _BODYLESS_STATUSES and request is not None:
+            if request.http_1_0:
+                self.closing = True
+            else:
+                headers.append((b"transfer-encoding", b"chunked"))
+        if not head.keep_alive or request is None or not request.keep_alive:
+            self.closing = True
+        if self.closing:
+            headers.append((b"connection", b"close"))
+        reason = _status_line(head.status).split(b" ", 2)[2].strip()
+        return self._encode(h11.Response(status_code=head.status, headers=headers, reason=reason))
+
+
+class H11ClientCodec(_H11Codec, ClientCodec):
+    """Client side by h11."""
+
+    __slots__ = ("_method",)
+
+    _role = h11.CLIENT
+
+    def __init__(self, header_limit: int) -> None:
+        super().__init__(header_limit)
+        self._method = ""
+
+    def _parse_head(self, head: bytes) -> Event:
+        event = self._feed_head(head)
+        assert isinstance(event, h11.Response | h11.InformationalResponse)
+        response = _build_response(event.status_code, event.http_version.decode(), event.headers)
+        if response.status < HTTPStatus.OK:
+            return _CONTINUE
+        self.closing = self.closing or not response.keep_alive
+        bodyless = self._method == "HEAD" or response.status in _BODYLESS_STATUSES
+        framed = response.chunked or response.content_length is not None
+        self._until_close = not bodyless and not framed
+        return response
+
+    def encode_request(self, head: RequestHead) -> bytes:
+        """Encode the head of a request."""
+        self._method = head.method
+        headers = [*head.control.items(), *head.headers]
+        if head.chunked:
+            headers.append((b"transfer-encoding", b"chunked"))
+        elif head.content_length is not None:
+            headers.append((b"content-length", b"%d" % head.content_length))
+        if head.expect_continue:
+            headers.append((b"expect", b"100-continue"))
+        if not head.keep_alive:
+            headers.append((b"connection", b"close"))
+        return self._encode(h11.Request(method=head.method, target=head.target, headers=headers))
+
+
+_SERVER_CODECS: dict[HttpCodec, type[ServerCodec]] = {
+    HttpCodec.H11: H11ServerCodec,
+    HttpCodec.HTTPTOOLS: HttptoolsServerCodec,
+}
+_CLIENT_CODECS: dict[HttpCodec, type[ClientCodec]] = {
+    HttpCodec.H11: H11ClientCodec,
+    HttpCodec.HTTPTOOLS: HttptoolsClientCodec,
+}
+
+
+def server_codec(library: HttpCodec, header_limit: int) -> ServerCodec:
+    """Return a codec for a connection that was accepted."""
+    return _SERVER_CODECS[library](header_limit)
+
+
+def client_codec(library: HttpCodec, header_limit: int) -> ClientCodec:
+    """Return a codec for a connection that was opened."""
+    return _CLIENT_CODECS[library](header_limit)
--- /dev/null
+++ b/jaypost/egress.py
@@ -0,0 +1,613 @@
+"""Peer-facing side of a node: checks, limits and admission, and dispatch to a local target."""
+
+from __future__ import annotations
+
+import asyncio
+import itertools
+from collections import deque
+from collections.abc import Callable
+from http import HTTPStatus
+
+import structlog
+
+from jaypost.admission import (
+    Admission,
+    Admit,
+    Admitted,
+    CallClass,
+    Cancel,
+    Decision,
+    Message,
+    Refused,
+    Release,
+    SetTargets,
+    Tick,
+)
+from jaypost.calls import (
+    CLASS,
+    DEADLINE_MS,
+    DEFAULT_TENANT,
+    FINAL,
+    HOST,
+    IDEMPOTENCY_KEY,
+    LOAD,
+    MAY_QUEUE,
+    REQUEST_ID,
+    RETRY,
+    TARGET,
+    TENANT,
+    CallEnded,
+    ErrorAnswer,
+    error_answer,
+)
+from jaypost.codecs import RequestHead, ResponseHead
+from jaypost.connections import (
+    CallServer,
+    ConnectionHandlers,
+    IncomingCall,
+    InFlight,
+    Responder,
+)
+from jaypost.errors import ANSWER_BY_KIND, ErrorKind, RunState
+from jaypost.invariants import check
+from jaypost.limits import FleetLimits, LimitQuestion
+from jaypost.pools import CallFailed, ConnectionPool, PooledExchange, Receiver
+from jaypost.records import Address, Row, Snapshot, Target, TargetState
+from jaypost.settings import Settings
+
+log = structlog.get_logger(__name__)
+
+LOOPBACK = "127.0.0.1"
+TICK_S = 0.02
+
+_FORWARDED_CONTROL = (HOST, REQUEST_ID, TENANT, RETRY, IDEMPOTENCY_KEY)
+
+
+class EgressCall(IncomingCall):
+    """One request of a peer, from its head to the release of its slot."""
+
+    __slots__ = (
+        "_admitted_at",
+        "_body",
+        "_body_done",
+        "_deadline",
+        "_done",
+        "_egress",
+        "_entered",
+        "_exchange",
+        "_head",
+        "_opened_at",
+        "_responder",
+        "_response_status",
+        "_row",
+        "_streaming",
+        "_target",
+        "_ticket",
+        "_timer",
+        "_waiting",
+    )
+
+    def __init__(self, egress: Egress, responder: Responder, head: RequestHead) -> None:
+        self._egress = egress
+        self._responder = responder
+        self._head = head
+        self._opened_at = egress.clock()
+        self._row: Row | None = None
+        self._target: Target | None = None
+        self._deadline = 0.0
+        self._ticket = ""
+        self._waiting = False
+        self._admitted_at: float | None = None
+        self._entered = False
+        self._streaming = False
+        self._body: list[bytes] = []
+        self._body_done = False
+        self._exchange: PooledExchange | None = None
+        self._response_status = 0
+        self._timer: asyncio.TimerHandle | None = None
+        self._done = False
+
+    def begin(self) -> None:
+        """Check the head, and wait for a small body before asking for a slot."""
+        kind = self._check_head()
+        if kind is not None:
+            self._refuse(kind)
+            return
+        limit = self._egress.settings.buffered_body_bytes
+        self._streaming = self._head.chunked or (self._head.content_length or 0) > limit
+        if self._streaming or self._head.expect_continue:
+            self._streaming = True
+            self._responder.pause_body()
+            self._ask_for_slot()
+
+    def _check_head(self) -> ErrorKind | None:
+        egress = self._egress
+        control = self._head.control
+        target = egress.target_by_id.get(control.get(TARGET, b"").decode("latin-1"))
+        if target is None:
+            return ErrorKind.WRONG_TARGET
+        self._target = target
+        if egress.refusing or target.state is TargetState.DRAINING:
+            return ErrorKind.DRAINING
+        if target.state is not TargetState.READY:
+            return ErrorKind.WRONG_TARGET
+        self._row = egress.snapshot().rows_by_service.get(target.service)
+        if self._row is None:
+            return ErrorKind.NOT_READY
+        remaining = control.get(DEADLINE_MS)
+        if remaining is None:
+            remaining = b"%d" % self._row.timeout_ms
+        if not remaining.isdigit() or not 0 < len(remaining) <= 9 or not int(remaining):
+            return ErrorKind.BAD_DEADLINE
+        self._deadline = self._opened_at + int(remaining) / 1000
+        return None
+
+    # admission
+
+    def _ask_for_slot(self) -> None:
+        assert self._row is not None and self._target is not None
+        egress = self._egress
+        now = egress.clock()
+        question = LimitQuestion(
+            self._row,
+            egress.own_slots_by_service.get(self._target.service, 0),
+            egress.fleet_slots(self._target.service),
+            now,
+        )
+        kind = egress.limits.enter(question)
+        if kind is not None:
+            self._refuse(kind)
+            return
+        self._entered = True
+        self._ticket = egress.new_ticket()
+        self._waiting = True
+        egress.call_by_ticket[self._ticket] = self
+        control = self._head.control
+        egress.handle(
+            Admit(
+                self._ticket,
+                self._target.target_id,
+                self._row,
+                control.get(TENANT, b"").decode("latin-1") or DEFAULT_TENANT,
+                CallClass.LONG if control.get(CLASS) == b"long" else CallClass.SHORT,
+                self._deadline,
+                control.get(MAY_QUEUE) == b"1",
+                now,
+            )
+        )
+
+    def on_decision(self, decision: Decision) -> None:
+        """Take the decision of the admission about this call."""
+        self._egress.queued_tickets.discard(self._ticket)
+        if isinstance(decision, Admitted):
+            self._waiting = False
+            self._admitted_at = self._egress.clock()
+            self._dispatch(self._admitted_at)
+        elif isinstance(decision, Refused):
+            self._waiting = False
+            self._refuse(decision.kind)
+        else:
+            self._egress.queued_tickets.add(self._ticket)
+            self._egress.start_ticking()
+
+    def _dispatch(self, now: float) -> None:
+        assert self._target is not None and self._row is not None
+        remaining_ms = int((self._deadline - now) * 1000)
+        if remaining_ms <= 0:
+            self._refuse(ErrorKind.DEADLINE_EXCEEDED)
+            return
+        head = self._head
+        received = head.control
+        control = {name: received[name] for name in _FORWARDED_CONTROL if name in received}
+        control[DEADLINE_MS] = b"%d" % remaining_ms
+        body = b"".join(self._body)
+        self._body.clear()
+        self._exchange = PooledExchange(
+            Address(LOOPBACK, self._target.port),
+            RequestHead(
+                head.method,
+                head.target,
+                control,
+                head.headers,
+                head.content_length,
+                head.chunked,
+            ),
+            body,
+            not self._streaming,
+            _TargetReceiver(self),
+        )
+        first_byte_s = self._row.first_byte_timeout_ms / 1000
+        until = min(self._deadline, now + first_byte_s) if first_byte_s else self._deadline
+        self._timer = self._egress.loop.call_at(until, self._time_over)
+        self._egress.pool.start_exchange(self._exchange)
+
+    # request body
+
+    def on_body(self, data: bytes) -> None:
+        """Keep or forward a part of the request body."""
+        if not self._streaming or self._exchange is None or not self._exchange.reached:
+            self._body.append(data)
+        else:
+            self._exchange.send_body(data)
+
+    def on_body_end(self) -> None:
+        """Ask for a slot when the body was waited for, else complete the forwarded request."""
+        if self._done:
+            return
+        self._body_done = True
+        if not self._streaming:
+            self._ask_for_slot()
+        elif self._exchange is not None and self._exchange.reached:
+            self._exchange.send_end()
+
+    def target_started(self) -> None:
+        """Send the rest of the body, now that a connection to the target is open."""
+        if not self._streaming or self._exchange is None:
+            return
+        for data in self._body:
+            self._exchange.send_body(data)
+        self._body.clear()
+        if self._body_done:
+            self._exchange.send_end()
+            return
+        if self._head.expect_continue:
+            self._responder.send_continue()
+        self._responder.resume_body()
+
+    def target_blocked(self, blocked: bool) -> None:
+        """Pass the backpressure of the target on to the sender of the body."""
+        if blocked:
+            self._responder.pause_body()
+        else:
+            self._responder.resume_body()
+
+    def on_fault(self, kind: ErrorKind) -> None:
+        """Give the call up, because the rest of the request cannot be read."""
+        exchange = self._exchange
+        if exchange is not None and exchange.reached:
+            exchange.cancel()
+            self._fail(ErrorKind.OUTCOME_UNKNOWN)
+        else:
+            self._refuse(ErrorKind.BAD_REQUEST if kind is ErrorKind.ANSWER_CUT else kind)
+
+    def on_disconnect(self) -> None:
+        """Cancel the call at the target by closing its connection."""
+        reached = self._exchange is not None and self._exchange.reached
+        if self._exchange is not None:
+            self._exchange.cancel()
+        self._end(
+            ErrorKind.CANCELLED,
+            self._response_status,
+            RunState.UNKNOWN if reached else RunState.NOT_RUN,
+        )
+
+    def on_write_paused(self) -> None:
+        """Stop reading the response of the target."""
+        if self._exchange is not None:
+            self._exchange.pause()
+
+    def on_write_resumed(self) -> None:
+        """Read the response of the target again."""
+        if self._exchange is not None:
+            self._exchange.resume()
+
+    # response
+
+    def target_head(self, head: ResponseHead) -> None:
+        """Forward the head of the response."""
+        assert self._exchange is not None and self._target is not None
+        request_id = self._head.control.get(REQUEST_ID, b"")
+        echoed = head.control.get(REQUEST_ID)
+        if echoed is not None and echoed != request_id:
+            log.error("crossed_response", target=self._target.target_id, got=echoed)
+            self._exchange.cancel()
+            self._fail(ErrorKind.OUTCOME_UNKNOWN)
+            return
+        control = {
+            REQUEST_ID: request_id,
+            LOAD: str(self._egress.admission.load(self._target.target_id)).encode(),
+        }
+        if FINAL in head.control:
+            control[FINAL] = head.control[FINAL]
+        self._response_status = head.status
+        if self._timer is not None and self._row is not None and self._row.first_byte_timeout_ms:
+            self._timer.cancel()
+            self._timer = self._egress.loop.call_at(self._deadline, self._time_over)
+        self._responder.send_head(
+            ResponseHead(head.status, control, head.headers, head.content_length)
+        )
+
+    def target_body(self, data: bytes) -> None:
+        """Forward a part of the response."""
+        self._responder.send_body(data)
+
+    def target_end(self) -> None:
+        """Complete the response."""
+        self._responder.send_end()
+        self._responder.flush()
+        self._end(None, self._response_status, RunState.RAN)
+
+    def target_failed(self, failure: CallFailed) -> None:
+        """Report the failure, or cut the response that was begun."""
+        if self._response_status:
+            responder = self._responder
+            self._end(ErrorKind.ANSWER_CUT, self._response_status, RunState.UNKNOWN)
+            responder.abort()
+        elif failure.reached:
+            self._fail(ErrorKind.OUTCOME_UNKNOWN)
+        else:
+            self._refuse(failure.kind)
+
+    def flush(self) -> None:
+        """Write what was forwarded."""
+        self._responder.flush()
+
+    def _time_over(self) -> None:
+        exchange = self._exchange
+        assert exchange is not None
+        exchange.cancel()
+        if self._response_status:
+            self.target_failed(CallFailed(ErrorKind.ANSWER_CUT, reached=True))
+        elif exchange.reached:
+            self._fail(ErrorKind.OUTCOME_UNKNOWN)
+        else:
+            self._refuse(ErrorKind.DEADLINE_EXCEEDED)
+
+    # end
+
+    def _refuse(self, kind: ErrorKind) -> None:
+        """Answer that the request was not run."""
+        reached = self._exchange is not None and self._exchange.reached
+        if not check(not reached, "P5_not_run_after_dispatch", kind=kind):
+            kind = ErrorKind.OUTCOME_UNKNOWN
+        self._fail(kind)
+
+    def _fail(self, kind: ErrorKind) -> None:
+        answer = ANSWER_BY_KIND[kind]
+        request_id = self._head.control.get(REQUEST_ID, b"")
+        responder = self._responder
+        self._end(kind, answer.status, answer.run_state)
+        load = None
+        if self._target is not None:
+            load = self._egress.admission.load(self._target.target_id)
+        responder.send_answer(
+            error_answer(kind, request_id, load=load), head_only=self._head.method == "HEAD"
+        )
+
+    def _end(self, kind: ErrorKind | None, status: int, run_state: RunState) -> None:
+        if self._done:
+            return
+        self._done = True
+        egress = self._egress
+        now = egress.clock()
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer = None
+        egress.in_flight.leave()
+        egress.call_by_ticket.pop(self._ticket, None)
+        egress.queued_tickets.discard(self._ticket)
+        if self._entered and self._row is not None:
+            egress.limits.leave(self._row.service)
+        started_at = self._admitted_at if self._admitted_at is not None else now
+        egress.report(
+            CallEnded(
+                self._head.control.get(REQUEST_ID, b"").decode("latin-1"),
+                self._target.service if self._target is not None else "",
+                self._head.control.get(TENANT, b"").decode("latin-1") or DEFAULT_TENANT,
+                CallClass.LONG if self._head.control.get(CLASS) == b"long" else CallClass.SHORT,
+                egress.snapshot().version,
+                kind,
+                status,
+                run_state,
+                1 if self._exchange is not None else 0,
+                started_at - self._opened_at,
+                now - started_at,
+                now - self._opened_at,
+            )
+        )
+        if self._admitted_at is not None:
+            egress.handle(Release(self._ticket, now - started_at, now))
+        elif self._waiting:
+            egress.handle(Cancel(self._ticket, now))
+
+
+class _TargetReceiver(Receiver):
+    """Passes the response of the target on to its call."""
+
+    __slots__ = ("_call",)
+
+    def __init__(self, call: EgressCall) -> None:
+        self._call = call
+
+    def on_started(self) -> None:
+        self._call.target_started()
+
+    def on_head(self, head: ResponseHead) -> None:
+        self._call.target_head(head)
+
+    def on_body(self, data: bytes) -> None:
+        self._call.target_body(data)
+
+    def on_end(self) -> None:
+        self._call.target_end()
+
+    def on_failed(self, failure: CallFailed) -> None:
+        self._call.target_failed(failure)
+
+    def on_batch_end(self) -> None:
+        self._call.flush()
+
+    def on_request_blocked(self) -> None:
+        self._call.target_blocked(True)
+
+    def on_request_unblocked(self) -> None:
+        self._call.target_blocked(False)
+
+
+class Egress:
+    """Server for calls from other nodes, and the only sender of requests to the local targets.
+
+    Parameters
+    ----------
+    settings : Settings
+        Settings of the node.
+    admission : Admission
+        Owner of the slots of the local targets.
+    limits : FleetLimits
+        Fleet-wide limits.
+    snapshot : callable
+        Returns the snapshot in force.
+    on_call_ended : callable
+        Told the result of each call.
+    """
+
+    def __init__(
+        self,
+        settings: Settings,
+        admission: Admission,
+        limits: FleetLimits,
+        snapshot: Callable[[], Snapshot],
+        on_call_ended: Callable[[CallEnded], None],
+    ) -> None:
+        self.settings = settings
+        self.admission = admission
+        self.limits = limits
+        self.snapshot = snapshot
+        self.report = on_call_ended
+        self.pool = ConnectionPool(settings)
+        self.in_flight = InFlight()
+        self.refusing = False
+        self.target_by_id: dict[str, Target] = {}
+        self.own_slots_by_service: dict[str, int] = {}
+        self.call_by_ticket: dict[str, EgressCall] = {}
+        self.queued_tickets: set[str] = set()
+        self._fleet_snapshot: Snapshot | None = None
+        self._fleet_slots_by_service: dict[str, int] = {}
+        self._tickets = itertools.count(1)
+        self._decisions: deque[Decision] = deque()
+        self._applying = False
+        self._ticker: asyncio.TimerHandle | None = None
+        self._server = CallServer(
+            settings, settings.listen_peer, ConnectionHandlers(self.open_call, self._refuse_input)
+        )
+
+    async def start(self) -> Address:
+        """Listen for peers and return the address with the port in use."""
+        self.loop = asyncio.get_running_loop()
+        self.clock = self.loop.time
+        await self.pool.start()
+        return await self._server.start()
+
+    def set_targets(self, targets: tuple[Target, ...]) -> None:
+        """Replace the targets of the host."""
+        self.target_by_id = {target.target_id: target for target in targets}
+        self.own_slots_by_service = {}
+        for target in targets:
+            if target.state is TargetState.READY:
+                slots = self.own_slots_by_service.get(target.service, 0)
+                self.own_slots_by_service[target.service] = slots + target.slots
+        self.handle(SetTargets(targets, self.clock()))
+
+    def open_call(self, responder: Responder, head: RequestHead) -> IncomingCall:
+        """Begin a call of a peer, or of the ingress of this node."""
+        call = EgressCall(self, responder, head)
+        self.in_flight.enter()
+        call.begin()
+        return call
+
+    async def drain(self) -> bool:
+        """Refuse new calls after the drain delay and wait for those in flight.
+
+        Returns
+        -------
+        bool
+            Whether all calls ended within the drain timeout.
+        """
+        await asyncio.sleep(self.settings.drain_delay_s)
+        self.refusing = True
+        self._server.draining = True
+        done = await self.in_flight.wait_empty(self.settings.drain_timeout_s)
+        self._server.stop_listening()
+        self._server.close_idle()
+        return done
+
+    async def close(self) -> None:
+        """Close all sockets; calls in flight are cancelled."""
+        if self._ticker is not None:
+            self._ticker.cancel()
+            self._ticker = None
+        await self._server.close()
+        await self.pool.close()
+
+    # admission
+
+    def new_ticket(self) -> str:
+        """Return a ticket that is unique on this node."""
+        return str(next(self._tickets))
+
+    def fleet_slots(self, service: str) -> int:
+        """Return the slots of the reachable ready targets of a service in the snapshot."""
+        snapshot = self.snapshot()
+        if snapshot is not self._fleet_snapshot:
+            self._fleet_snapshot = snapshot
+            self._fleet_slots_by_service = {}
+        slots = self._fleet_slots_by_service.get(service)
+        if slots is None:
+            slots = sum(
+                placed.target.slots
+                for placed in snapshot.targets_by_service.get(service, ())
+                if placed.reachable and placed.target.state is TargetState.READY
+            )
+            self._fleet_slots_by_service[service] = slots
+        return max(slots, self.own_slots_by_service.get(service, 0))
+
+    def handle(self, message: Message) -> None:
+        """Pass a message to the admission and its decisions to their calls, in order."""
+        self._decisions.extend(self.admission.handle(message))
+        if self._applying:
+            return  # the loop below, further up the stack, takes the new decisions as well
+        self._applying = True
+        try:
+            while self._decisions:
+                decision = self._decisions.popleft()
+                call = self.call_by_ticket.get(decision.ticket)
+                if call is not None:
+                    call.on_decision(decision)
+                elif isinstance(decision, Admitted):
+                    now = self.clock()
+                    self._decisions.extend(
+                        self.admission.handle(Release(decision.ticket, 0.0, now))
+                    )
+        finally:
+            self._applying = False
+
+    def start_ticking(self) -> None:
+        """Let the admission refuse queued calls whose deadline cannot be met any more."""
+        if self._ticker is None:
+            self._ticker = self.loop.call_later(TICK_S, self._tick)
+
+    def _tick(self) -> None:
+        self._ticker = None
+        self.handle(Tick(self.clock()))
+        if self.queued_tickets:
+            self.start_ticking()
+
+    def _refuse_input(self, kind: ErrorKind) -> ErrorAnswer:
+        status = ANSWER_BY_KIND[kind].status if kind in ANSWER_BY_KIND else HTTPStatus.BAD_REQUEST
+        self.report(
+            CallEnded(
+                "",
+                "",
+                DEFAULT_TENANT,
+                CallClass.SHORT,
+                self.snapshot().version,
+                kind,
+                status,
+                RunState.NOT_RUN,
+                0,
+                0.0,
+                0.0,
+                0.0,
+            )
+        )
+        return error_answer(kind, b"")
--- /dev/null
+++ b/jaypost/pools.py
@@ -0,0 +1,702 @@
+"""Pooled client HTTP connections, grouped by remote address, one request at a time on each."""
+
+from __future__ import annotations
+
+import asyncio
+from abc import ABC, abstractmethod
+from collections import deque
+from collections.abc import Callable
+from dataclasses import dataclass
+
+import structlog
+
+from jaypost.calls import HOST
+from jaypost.codecs import (
+    BodyChunk,
+    ContinueReceived,
+    Event,
+    ProtocolFault,
+    RequestHead,
+    ResponseHead,
+    client_codec,
+)
+from jaypost.connections import PROBE_TARGET
+from jaypost.errors import ErrorKind
+from jaypost.records import Address
+from jaypost.settings import Settings
+
+log = structlog.get_logger(__name__)
+
+IDLE_EXPIRY_S = 30.0
+PROBE_TIMEOUT_S = 1.0
+STREAM_BUFFER_BYTES = 65_536
+
+
+@dataclass(frozen=True, slots=True)
+class CallFailed:
+    """A request got no complete response.
+
+    Parameters
+    ----------
+    kind : ErrorKind
+        What went wrong.
+    reached : bool
+        Whether the other side may have read any byte of the request.
+    """
+
+    kind: ErrorKind
+    reached: bool
+
+
+class Receiver(ABC):
+    """Takes the response to one request; `on_failed` or `on_end` is the last call."""
+
+    __slots__ = ()
+
+    @abstractmethod
+    def on_head(self, head: ResponseHead) -> None:
+        """Take the head of the response."""
+
+    @abstractmethod
+    def on_body(self, data: bytes) -> None:
+        """Take a part of the body."""
+
+    @abstractmethod
+    def on_end(self) -> None:
+        """Note that the response is complete."""
+
+    @abstractmethod
+    def on_failed(self, failure: CallFailed) -> None:
+        """Note that there will be no (complete) response."""
+
+    def on_started(self) -> None:  # noqa: B027 - optional
+        """Note that the head of the request was written, so that a body can follow."""
+
+    def on_continue(self) -> None:  # noqa: B027 - optional
+        """Note that the other side asks for the body."""
+
+    def on_batch_end(self) -> None:  # noqa: B027 - optional
+        """Note that no further event is at hand, so that output can be flushed."""
+
+    def on_request_blocked(self) -> None:  # noqa: B027 - optional
+        """Note that the other side reads the request more slowly than it is sent."""
+
+    def on_request_unblocked(self) -> None:  # noqa: B027 - optional
+        """Note that the other side has caught up."""
+
+
+class Exchange(ABC):
+    """A request in progress, as its sender controls it."""
+
+    __slots__ = ()
+
+    @abstractmethod
+    def send_body(self, data: bytes) -> None:
+        """Send a part of the request body."""
+
+    @abstractmethod
+    def send_end(self) -> None:
+        """Complete the request."""
+
+    @abstractmethod
+    def pause(self) -> None:
+        """Stop the delivery of the response."""
+
+    @abstractmethod
+    def resume(self) -> None:
+        """Continue the delivery of the response."""
+
+    @abstractmethod
+    def cancel(self) -> None:
+        """Give the request up; the receiver is not called any more."""
+
+    @property
+    @abstractmethod
+    def reached(self) -> bool:
+        """Whether the other side may have read any byte of the request."""
+
+
+class PooledExchange(Exchange):
+    """A request on a pooled connection.
+
+    Parameters
+    ----------
+    address : Address
+        Address of the other side.
+    head : RequestHead
+        Head of the request.
+    body : bytes
+        The whole body, or nothing when it is sent later.
+    complete : bool
+        Whether `body` is the whole body.
+    receiver : Receiver
+        Taker of the response.
+    """
+
+    __slots__ = (
+        "address",
+        "body",
+        "complete",
+        "connection",
+        "head",
+        "paused",
+        "pool",
+        "receiver",
+        "sent_at",
+    )
+
+    def __init__(
+        self,
+        address: Address,
+        head: RequestHead,
+        body: bytes,
+        complete: bool,
+        receiver: Receiver,
+    ) -> None:
+        self.address = address
+        self.head = head
+        self.body = body
+        self.complete = complete
+        self.receiver = receiver
+        self.connection: ClientConnection | None = None
+        self.pool: ConnectionPool | None = None
+        self.sent_at: float | None = None
+        self.paused = False
+
+    @property
+    def reached(self) -> bool:
+        """Whether the other side may have read any byte of the request."""
+        return self.sent_at is not None
+
+    def send_body(self, data: bytes) -> None:
+        """Send a part of the request body."""
+        if self.connection is not None:
+            self.connection.send_body(data)
+
+    def send_end(self) -> None:
+        """Complete the request."""
+        self.complete = True
+        if self.connection is not None:
+            self.connection.send_end()
+
+    def pause(self) -> None:
+        """Stop the delivery of the response."""
+        self.paused = True
+        if self.connection is not None:
+            self.connection.pause()
+
+    def resume(self) -> None:
+        """Continue the delivery of the response."""
+        self.paused = False
+        if self.connection is not None:
+            self.connection.resume()
+
+    def cancel(self) -> None:
+        """Give the request up, which closes its connection."""
+        connection, self.connection = self.connection, None
+        if connection is not None:
+            connection.discard()
+        elif self.pool is not None:
+            self.pool.withdraw(self)
+
+
+class _Group:
+    """Connections to one address and the requests that wait for one."""
+
+    __slots__ = ("address", "connections", "dials", "idle", "waiting")
+
+    def __init__(self, address: Address) -> None:
+        self.address = address
+        self.connections: set[ClientConnection] = set()
+        self.idle: list[ClientConnection] = []
+        self.waiting: deque[PooledExchange] = deque()
+        self.dials: set[asyncio.Task[None]] = set()
+
+
+class ClientConnection(asyncio.Protocol):
+    """One open connection of a pool.
+
+    asyncio and uvloop both set TCP_NODELAY on the sockets that they open.
+    """
+
+    __slots__ = (
+        "_codec",
+        "_exchange",
+        "_group",
+        "_head_received",
+        "_paused",
+        "_pool",
+        "_transport",
+        "idle_since",
+        "last_received",
+    )
+
+    def __init__(self, pool: ConnectionPool, group: _Group) -> None:
+        self._pool = pool
+        self._group = group
+        self._codec = client_codec(pool.settings.http_codec, pool.settings.header_limit_bytes)
+        self._transport: asyncio.Transport | None = None
+        self._exchange: PooledExchange | None = None
+        self._head_received = False
+        self._paused = False
+        self.idle_since = 0.0
+        self.last_received = 0.0
+
+    # asyncio.Protocol
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Register the connection."""
+        assert isinstance(transport, asyncio.Transport)
+        self._transport = transport
+        self.last_received = self._pool.clock()
+        self._group.connections.add(self)
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Fail the request in progress, unless the end of the connection completes it."""
+        self._transport = None
+        self._pool.forget(self._group, self)
+        exchange = self._exchange
+        if exchange is None:
+            return
+        if exc is None:
+            self._dispatch_all(exchange, self._codec.receive_eof())
+        if self._exchange is not None:
+            self._fail(ErrorKind.ANSWER_CUT if self._head_received else ErrorKind.OUTCOME_UNKNOWN)
+
+    def data_received(self, data: bytes) -> None:
+        """Decode input and hand it to the receiver."""
+        exchange = self._exchange
+        self.last_received = self._pool.clock()
+        if exchange is None:
+            # Nothing was asked: a late or crossed response must not meet the next request.
+            log.warning("unsolicited_response", address=str(self._group.address), size=len(data))
+            self.discard()
+            return
+        self._dispatch_all(exchange, self._codec.receive(data))
+
+    def pause_writing(self) -> None:
+        """Pass backpressure on to the sender of the request."""
+        if self._exchange is not None:
+            self._exchange.receiver.on_request_blocked()
+
+    def resume_writing(self) -> None:
+        """Let the sender of the request continue."""
+        if self._exchange is not None:
+            self._exchange.receiver.on_request_unblocked()
+
+    # request
+
+    @property
+    def usable(self) -> bool:
+        """Whether a request can be written."""
+        return self._transport is not None and not self._transport.is_closing()
+
+    @property
+    def exchange(self) -> PooledExchange | None:
+        """The request in progress."""
+        return self._exchange
+
+    def begin(self, exchange: PooledExchange) -> None:
+        """Write a request."""
+        assert self._transport is not None
+        self._exchange = exchange
+        self._head_received = False
+        exchange.connection = self
+        exchange.sent_at = self._pool.clock()
+        data = self._codec.encode_request(exchange.head)
+        if exchange.body:
+            data += self._codec.encode_body(exchange.body)
+        if exchange.complete:
+            data += self._codec.encode_end()
+        self._transport.write(data)
+        if exchange.paused:
+            self.pause()
+        exchange.receiver.on_started()
+
+    def send_body(self, data: bytes) -> None:
+        """Write a part of the body."""
+        if self._transport is not None:
+            self._transport.write(self._codec.encode_body(data))
+
+    def send_end(self) -> None:
+        """Write the end of the request."""
+        if self._transport is not None:
+            end = self._codec.encode_end()
+            if end:
+                self._transport.write(end)
+
+    # response
+
+    def _dispatch_all(self, exchange: PooledExchange, events: list[Event]) -> None:
+        receiver = exchange.receiver
+        for event in events:
+            kind = type(event)
+            if kind is BodyChunk:
+                receiver.on_body(event.data)  # type: ignore[union-attr]
+            elif kind is ResponseHead:
+                self._head_received = True
+                receiver.on_head(event)  # type: ignore[arg-type]
+            elif kind is ContinueReceived:
+                receiver.on_continue()
+            elif kind is ProtocolFault:
+                self._refuse(event)  # type: ignore[arg-type]
+            else:
+                self._complete(exchange)
+                receiver.on_end()
+                break
+            if self._exchange is not exchange:
+                break  # cancelled by the receiver
+        receiver.on_batch_end()
+
+    def _refuse(self, fault: ProtocolFault) -> None:
+        log.warning("bad_response", address=str(self._group.address), reason=fault.reason)
+        self._fail(ErrorKind.ANSWER_CUT if self._head_received else ErrorKind.OUTCOME_UNKNOWN)
+
+    def _complete(self, exchange: PooledExchange) -> None:
+        self._exchange = None
+        exchange.connection = None
+        reusable = exchange.complete and not self._codec.surplus and not self._codec.closing
+        if not reusable or not self.usable:
+            self.discard()
+            return
+        if self._paused:
+            self.resume()
+        self._codec.next_message()
+        self._pool.release(self._group, self)
+
+    def _fail(self, kind: ErrorKind) -> None:
+        exchange, self._exchange = self._exchange, None
+        self.discard()
+        if exchange is not None:
+            exchange.connection = None
+            exchange.receiver.on_failed(CallFailed(kind, reached=True))
+
+    def pause(self) -> None:
+        """Stop reading."""
+        if self._transport is not None:
+            self._paused = True
+            self._transport.pause_reading()
+
+    def resume(self) -> None:
+        """Read again."""
+        if self._transport is not None:
+            self._paused = False
+            self._transport.resume_reading()
+
+    def close_silent(self) -> None:
+        """Close the connection and fail its request, because the other side is silent."""
+        self._fail(ErrorKind.ANSWER_CUT if self._head_received else ErrorKind.OUTCOME_UNKNOWN)
+
+    def discard(self) -> None:
+        """Close the connection at once; a request in progress is not told."""
+        self._exchange = None
+        self._pool.forget(self._group, self)
+        if self._transport is not None:
+            self._transport.abort()
+
+
+class ConnectionPool:
+    """Client connections of one role of the node.
+
+    Parameters
+    ----------
+    settings : Settings
+        Settings of the node.
+    probe : bool
+        Whether idle connections are probed. The other side must answer ``OPTIONS *``.
+    on_silent : callable, optional
+        Told the address of a peer whose connections were closed because they were silent.
+    """
+
+    def __init__(
+        self,
+        settings: Settings,
+        probe: bool = False,
+        on_silent: Callable[[Address], None] | None = None,
+    ) -> None:
+        self.settings = settings
+        self._probe = probe
+        self._on_silent = on_silent
+        self._group_by_address: dict[Address, _Group] = {}
+        self._timer: asyncio.TimerHandle | None = None
+        self._loop: asyncio.AbstractEventLoop | None = None
+        self._closed = False
+        self.clock: Callable[[], float] = lambda: 0.0
+
+    async def start(self) -> None:
+        """Start probing and expiring idle connections."""
+        self._loop = asyncio.get_running_loop()
+        self.clock = self._loop.time
+        self._closed = False
+        self._timer = self._loop.call_later(self.settings.idle_probe_s, self._maintain)
+
+    async def close(self) -> None:
+        """Close all connections; requests in progress fail."""
+        self._closed = True
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer = None
+        dials = [task for group in self._group_by_address.values() for task in group.dials]
+        for group in tuple(self._group_by_address.values()):
+            for connection in tuple(group.connections):
+                connection.close_silent()
+            while group.waiting:
+                group.waiting.popleft().receiver.on_failed(
+                    CallFailed(ErrorKind.CONNECT_FAILED, reached=False)
+                )
+        for task in dials:
+            task.cancel()
+        await asyncio.gather(*dials, return_exceptions=True)
+        self._group_by_address.clear()
+
+    def connection_count(self, address: Address) -> int:
+        """Return the number of open connections to an address."""
+        group = self._group_by_address.get(address)
+        return len(group.connections) if group else 0
+
+    def start_exchange(self, exchange: PooledExchange) -> None:
+        """Send a request on an idle connection, or on a new one when there is none."""
+        exchange.pool = self
+        group = self._group_by_address.get(exchange.address)
+        if group is None:
+            group = self._group_by_address[exchange.address] = _Group(exchange.address)
+        while group.idle:
+            connection = group.idle.pop()
+            if connection.usable:
+                connection.begin(exchange)
+                return
+        group.waiting.append(exchange)
+        self._dial(group)
+
+    async def request(
+        self, address: Address, head: RequestHead, body: bytes, deadline: float
+    ) -> ResponseStream | CallFailed:
+        """Send a request and return its response once the head is there.
+
+        `deadline` is the time of the event loop up to which the head is waited for.
+        """
+        stream = ResponseStream()
+        exchange = PooledExchange(address, head, body, True, stream)
+        stream.attach(exchange)
+        self.start_exchange(exchange)
+        try:
+            async with asyncio.timeout_at(deadline):
+                outcome = await stream.wait_head()
+        except TimeoutError:
+            exchange.cancel()
+            kind = ErrorKind.OUTCOME_UNKNOWN if exchange.reached else ErrorKind.DEADLINE_EXCEEDED
+            return CallFailed(kind, exchange.reached)
+        except asyncio.CancelledError:
+            exchange.cancel()
+            raise
+        return outcome if isinstance(outcome, CallFailed) else stream
+
+    def withdraw(self, exchange: PooledExchange) -> None:
+        """Remove a request that waits for a connection."""
+        group = self._group_by_address.get(exchange.address)
+        if group is not None and exchange in group.waiting:
+            group.waiting.remove(exchange)
+
+    def release(self, group: _Group, connection: ClientConnection) -> None:
+        """Take back a connection whose request is complete."""
+        if self._closed:
+            connection.discard()
+        elif group.waiting:
+            connection.begin(group.waiting.popleft())
+        else:
+            connection.idle_since = self.clock()
+            group.idle.append(connection)
+
+    def forget(self, group: _Group, connection: ClientConnection) -> None:
+        """Remove a connection that is closed."""
+        group.connections.discard(connection)
+        if connection in group.idle:
+            group.idle.remove(connection)
+        self._drop_empty(group)
+
+    def _drop_empty(self, group: _Group) -> None:
+        if not group.connections and not group.waiting and not group.dials:
+            if self._group_by_address.get(group.address) is group:
+                del self._group_by_address[group.address]
+
+    def close_silent(self, address: Address, since: float) -> None:
+        """Close every connection to `address` on which nothing arrived after `since`."""
+        group = self._group_by_address.get(address)
+        if group is None:
+            return
+        silent = [item for item in group.connections if item.last_received <= since]
+        log.warning("silent_peer", address=str(address), connections=len(silent))
+        for connection in silent:
+            connection.close_silent()
+        if self._on_silent is not None:
+            self._on_silent(address)
+
+    # opening connections
+
+    def _dial(self, group: _Group) -> None:
+        assert self._loop is not None
+        task = self._loop.create_task(self._connect(group))
+        group.dials.add(task)
+        task.add_done_callback(lambda done: self._dialled(group, done))
+
+    def _dialled(self, group: _Group, task: asyncio.Task[None]) -> None:
+        group.dials.discard(task)
+        self._drop_empty(group)
+
+    async def _connect(self, group: _Group) -> None:
+        assert self._loop is not None
+        try:
+            async with asyncio.timeout(self.settings.connect_timeout_s):
+                _, connection = await self._loop.create_connection(
+                    lambda: ClientConnection(self, group), group.address.host, group.address.port
+                )
+        except OSError as error:  # TimeoutError included
+            log.info("connect_failed", address=str(group.address), reason=str(error))
+            if group.waiting:
+                failure = CallFailed(ErrorKind.CONNECT_FAILED, reached=False)
+                group.waiting.popleft().receiver.on_failed(failure)
+            return
+        if connection.usable:
+            self.release(group, connection)
+
+    # idle connections
+
+    def _maintain(self) -> None:
+        assert self._loop is not None
+        self._timer = self._loop.call_later(self.settings.idle_probe_s, self._maintain)
+        now = self.clock()
+        for group in tuple(self._group_by_address.values()):
+            for connection in [c for c in group.idle if now - c.idle_since > IDLE_EXPIRY_S]:
+                connection.discard()
+            longest_idle = group.idle[0] if group.idle else None
+            if (
+                self._probe
+                and longest_idle is not None
+                and now - longest_idle.idle_since >= self.settings.idle_probe_s
+            ):
+                group.idle.remove(longest_idle)
+                _Probe(self, group.address, self._loop).send(longest_idle)
+
+
+class _Probe(Receiver):
+    """Checks that an idle connection still carries data."""
+
+    __slots__ = ("_address", "_loop", "_pool", "_timer")
+
+    def __init__(
+        self, pool: ConnectionPool, address: Address, loop: asyncio.AbstractEventLoop
+    ) -> None:
+        self._pool = pool
+        self._address = address
+        self._loop = loop
+        self._timer: asyncio.TimerHandle | None = None
+
+    def send(self, connection: ClientConnection) -> None:
+        """Send the probe."""
+        if not connection.usable:
+            connection.discard()
+            return
+        head = RequestHead("OPTIONS", PROBE_TARGET, {HOST: b"jaypost"}, [])
+        since = self._pool.clock()
+        self._timer = self._loop.call_later(PROBE_TIMEOUT_S, self._silent, since)
+        connection.begin(PooledExchange(self._address, head, b"", True, self))
+
+    def _silent(self, since: float) -> None:
+        self._pool.close_silent(self._address, since)
+
+    def on_head(self, head: ResponseHead) -> None:
+        """Accept any response."""
+
+    def on_body(self, data: bytes) -> None:
+        """Ignore the body."""
+
+    def on_end(self) -> None:
+        """Note that the connection works."""
+        if self._timer is not None:
+            self._timer.cancel()
+
+    def on_failed(self, failure: CallFailed) -> None:
+        """Note that the connection is closed."""
+        if self._timer is not None:
+            self._timer.cancel()
+
+
+class ResponseStream(Receiver):
+    """The response to a request, read by one task with bounded memory."""
+
+    __slots__ = ("_buffered", "_changed", "_chunks", "_ended", "_exchange", "_failure", "head")
+
+    def __init__(self) -> None:
+        self.head: ResponseHead | None = None
+        self._exchange: PooledExchange | None = None
+        self._chunks: deque[bytes] = deque()
+        self._buffered = 0
+        self._ended = False
+        self._failure: CallFailed | None = None
+        self._changed = asyncio.Event()
+
+    def attach(self, exchange: PooledExchange) -> None:
+        """Name the exchange that delivers the response."""
+        self._exchange = exchange
+
+    def on_head(self, head: ResponseHead) -> None:
+        """Take the head of the response."""
+        self.head = head
+        self._changed.set()
+
+    def on_body(self, data: bytes) -> None:
+        """Take a part of the body."""
+        self._chunks.append(data)
+        self._buffered += len(data)
+        if self._buffered > STREAM_BUFFER_BYTES and self._exchange is not None:
+            self._exchange.pause()
+        self._changed.set()
+
+    def on_end(self) -> None:
+        """Note that the response is complete."""
+        self._ended = True
+        self._changed.set()
+
+    def on_failed(self, failure: CallFailed) -> None:
+        """Note that there will be no (complete) response."""
+        self._failure = failure
+        self._changed.set()
+
+    async def wait_head(self) -> ResponseHead | CallFailed:
+        """Return the head of the response."""
+        while self.head is None and self._failure is None:
+            self._changed.clear()
+            await self._changed.wait()
+        if self.head is not None:
+            return self.head
+        assert self._failure is not None
+        return self._failure
+
+    async def next_chunk(self) -> bytes | CallFailed | None:
+        """Return the next part of the body, or None at its end."""
+        while not self._chunks and not self._ended and self._failure is None:
+            self._changed.clear()
+            await self._changed.wait()
+        if self._chunks:
+            data = self._chunks.popleft()
+            self._buffered -= len(data)
+            if self._buffered <= STREAM_BUFFER_BYTES and self._exchange is not None:
+                self._exchange.resume()
+            return data
+        return None if self._ended else self._failure
+
+    async def read(self) -> bytes | CallFailed:
+        """Return the rest of the body."""
+        parts: list[bytes] = []
+        while True:
+            chunk = await self.next_chunk()
+            if chunk is None:
+                return b"".join(parts)
+            if isinstance(chunk, CallFailed):
+                return chunk
+            parts.append(chunk)
+
+    def close(self) -> None:
+        """Give the rest of the response up."""
+        if self._exchange is not None and not self._ended:
+            self._exchange.cancel()
--- /dev/null
+++ b/standins/decisions.py
@@ -0,0 +1,189 @@
+"""Simple decisions of the request path, for tests and measurements of the transport alone."""
+
+from __future__ import annotations
+
+from collections import deque
+from collections.abc import Mapping
+
+from jaypost.admission import (
+    Admission,
+    Admit,
+    Admitted,
+    Cancel,
+    Decision,
+    Message,
+    Queued,
+    Refused,
+    Release,
+    SetTargets,
+    Tick,
+)
+from jaypost.claims import Claimed, ClaimOutcome, ClaimUnavailable, Duplicate
+from jaypost.errors import ANSWER_BY_KIND, ErrorKind
+from jaypost.limits import FleetLimits, LimitQuestion
+from jaypost.placement import (
+    AttemptEnded,
+    AttemptStarted,
+    ChooseTarget,
+    Chosen,
+    NoTarget,
+    Placement,
+)
+from jaypost.records import Destination, Load, Row
+from jaypost.retries import AttemptFailed, GiveUp, Retry, RetryPolicy
+
+
+class FirstTarget(Placement):
+    """Chooses the first target that was not tried, and the first one again after that."""
+
+    def __init__(self) -> None:
+        self.ended: list[AttemptEnded] = []
+
+    def destination(
+        self, destinations: tuple[Destination, ...], snapshot_targets: Mapping[str, object]
+    ) -> str | None:
+        """Return the first destination."""
+        return destinations[0].service if destinations else None
+
+    def choose(self, question: ChooseTarget) -> Chosen | NoTarget:
+        """Return the first target that was not tried."""
+        if not question.targets:
+            return NoTarget(ErrorKind.NO_TARGET)
+        fresh = [t for t in question.targets if t.target.target_id not in question.tried]
+        return Chosen((fresh or question.targets)[0], question.last_attempt)
+
+    def observe(self, event: AttemptStarted | AttemptEnded) -> None:
+        """Keep the results of attempts."""
+        if isinstance(event, AttemptEnded):
+            self.ended.append(event)
+            del self.ended[:-1000]
+
+
+class PlainRetries(RetryPolicy):
+    """Retries what was not run, and what may be repeated, without a budget."""
+
+    def __init__(self) -> None:
+        self.failures: list[AttemptFailed] = []
+
+    def request_started(self, row: Row, now: float) -> None:
+        """Do nothing: there is no budget."""
+
+    def decide(self, failure: AttemptFailed) -> Retry | GiveUp:
+        """Return whether another attempt is made."""
+        self.failures.append(failure)
+        repeatable = failure.method in failure.row.repeatable_methods and not failure.final
+        refused = (
+            not failure.reached
+            and failure.kind is not None
+            and ANSWER_BY_KIND[failure.kind].retryable
+        )
+        if failure.attempt > failure.row.retry_limit or not failure.body_kept:
+            return GiveUp(failure.kind, False)
+        return Retry(0.0) if refused or repeatable else GiveUp(failure.kind, False)
+
+    def may_hedge(self, row: Row, method: str, inside_retry: bool, now: float) -> bool:
+        """Allow every hedge."""
+        return True
+
+
+class PlainAdmission(Admission):
+    """Counts slots and queues in order of arrival."""
+
+    def __init__(self) -> None:
+        self._slots: dict[str, int] = {}
+        self.busy: dict[str, set[str]] = {}
+        self.waiting: dict[str, deque[str]] = {}
+        self._target_by_ticket: dict[str, str] = {}
+
+    def load(self, target_id: str) -> Load:
+        """Return the load of a target."""
+        return Load(
+            len(self.busy.get(target_id, ())),
+            self._slots.get(target_id, 0),
+            len(self.waiting.get(target_id, ())),
+        )
+
+    def handle(self, message: Message) -> tuple[Decision, ...]:
+        """Apply `message` and return the decisions it brought about."""
+        if isinstance(message, Admit):
+            return (self._admit(message),)
+        if isinstance(message, SetTargets):
+            self._slots = {target.target_id: target.slots for target in message.targets}
+        elif isinstance(message, Release | Cancel):
+            return self._leave(message.ticket)
+        else:
+            assert isinstance(message, Tick)
+        return ()
+
+    def _admit(self, message: Admit) -> Decision:
+        target_id = message.target_id
+        busy = self.busy.setdefault(target_id, set())
+        waiting = self.waiting.setdefault(target_id, deque())
+        if len(busy) < self._slots.get(target_id, 0):
+            self._target_by_ticket[message.ticket] = target_id
+            busy.add(message.ticket)
+            return Admitted(message.ticket, self.load(target_id))
+        if not message.may_queue:
+            return Refused(message.ticket, ErrorKind.SLOTS_FULL, self.load(target_id))
+        if len(waiting) >= message.row.queue_limit:
+            return Refused(message.ticket, ErrorKind.QUEUE_FULL, self.load(target_id))
+        self._target_by_ticket[message.ticket] = target_id
+        waiting.append(message.ticket)
+        return Queued(message.ticket, self.load(target_id))
+
+    def _leave(self, ticket: str) -> tuple[Decision, ...]:
+        target_id = self._target_by_ticket.pop(ticket)
+        busy, waiting = self.busy[target_id], self.waiting[target_id]
+        if ticket in waiting:
+            waiting.remove(ticket)
+            return ()
+        busy.remove(ticket)
+        if not waiting:
+            return ()
+        next_ticket = waiting.popleft()
+        busy.add(next_ticket)
+        return (Admitted(next_ticket, self.load(target_id)),)
+
+
+class NoLimits(FleetLimits):
+    """Counts requests; refuses with `refusal` when it is set."""
+
+    def __init__(self) -> None:
+        self.inside = 0
+        self.refusal: ErrorKind | None = None
+
+    def enter(self, question: LimitQuestion) -> ErrorKind | None:
+        """Take one request into account."""
+        if self.refusal is None:
+            self.inside += 1
+        return self.refusal
+
+    def leave(self, service: str) -> None:
+        """Take one request out of the count."""
+        self.inside -= 1
+
+
+class MemoryClaims:
+    """Keeps claims in memory; `available` false stands for an outage of the store."""
+
+    def __init__(self) -> None:
+        self.available = True
+        self.status_by_key: dict[str, tuple[str, int]] = {}
+
+    async def claim(self, service: str, key: str, request_id: str, now: float) -> ClaimOutcome:
+        """Claim a key for a request."""
+        if not self.available:
+            return ClaimUnavailable("unavailable")
+        if key in self.status_by_key:
+            owner, status = self.status_by_key[key]
+            return Duplicate(owner, status)
+        self.status_by_key[key] = (request_id, 0)
+        return Claimed(key)
+
+    async def record(self, service: str, key: str, request_id: str, status: int) -> None:
+        """Record the status of the request that owns the key."""
+        self.status_by_key[key] = (request_id, status)
+
+    async def withdraw(self, service: str, key: str, request_id: str) -> None:
+        """Give the key back."""
+        del self.status_by_key[key]
