--- /dev/null
+++ b/bench/node_process.py
@@ -0,0 +1,81 @@
+"""A node without control plane, for measurements: an ingress and an egress with fixed targets."""
+
+from __future__ import annotations
+
+import argparse
+import asyncio
+import gc
+import signal
+
+from jaypost.egress import Egress
+from jaypost.ingress import Ingress
+from jaypost.records import (
+    Address,
+    Destination,
+    PlacedTarget,
+    Row,
+    Snapshot,
+    Target,
+    TargetState,
+)
+from jaypost.settings import parse_address
+from standins.decisions import FirstTarget, MemoryClaims, NoLimits, PlainAdmission, PlainRetries
+from standins.node_settings import node_settings
+from standins.target import run_loop
+
+SERVICE = "orders"
+SLOTS = 10_000  # admission is not what is measured
+
+
+async def serve(arguments: argparse.Namespace) -> None:
+    """Serve until SIGTERM."""
+    stop = asyncio.Event()
+    asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, stop.set)
+    settings = node_settings(
+        http_codec=arguments.codec, node_id=arguments.node_id, connect_timeout_s=2
+    )
+    target = Target("target-1", SERVICE, arguments.target_port, SLOTS, TargetState.READY)
+    snapshot = Snapshot()
+    egress = Egress(settings, PlainAdmission(), NoLimits(), lambda: snapshot, lambda ended: None)
+    ingress = Ingress(
+        settings,
+        FirstTarget(),
+        PlainRetries(),
+        MemoryClaims(),
+        lambda: snapshot,
+        lambda ended: None,
+        egress,
+    )
+    peer = await egress.start()
+    caller = await ingress.start()
+    owner = arguments.node_id if arguments.peer is None else "other"
+    address: Address = arguments.peer or peer
+    placed = PlacedTarget(target, owner, "domain-a", "region-a", address)
+    snapshot = Snapshot(
+        1,
+        {SERVICE: Row(SERVICE)},
+        {SERVICE: (Destination(SERVICE, 1),)},
+        {},
+        {SERVICE: (placed,)},
+    )
+    egress.set_targets((target,))
+    gc.freeze()
+    print(f"caller={caller} peer={peer}", flush=True)
+    await stop.wait()
+    await ingress.close()
+    await egress.close()
+
+
+def main() -> None:
+    """Run the node as a process."""
+    parser = argparse.ArgumentParser()
+    parser.add_argument("--node-id", default="node-a")
+    parser.add_argument("--codec", default="httptools")
+    parser.add_argument("--target-port", type=int, required=True)
+    parser.add_argument("--peer", type=parse_address, help="peer address of the target's node")
+    arguments = parser.parse_args()
+    run_loop(lambda: serve(arguments))
+
+
+if __name__ == "__main__":
+    main()
--- a/jaypost/egress.py
+++ b/jaypost/egress.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import itertools
+import time
 from collections import deque
 from collections.abc import Callable
 from http import HTTPStatus
@@ -474,6 +475,7 @@
         self.limits = limits
         self.snapshot = snapshot
         self.report = on_call_ended
+        self.clock = time.monotonic  # the clock of uvloop has a resolution of 1 ms only
         self.pool = ConnectionPool(settings)
         self.in_flight = InFlight()
         self.refusing = False
@@ -494,7 +496,6 @@
     async def start(self) -> Address:
         """Listen for peers and return the address with the port in use."""
         self.loop = asyncio.get_running_loop()
-        self.clock = self.loop.time
         await self.pool.start()
         return await self._server.start()
 
--- a/jaypost/ingress.py
+++ b/jaypost/ingress.py
@@ -6,6 +6,7 @@
 import itertools
 import re
 import secrets
+import time
 from collections.abc import Callable, Coroutine
 from dataclasses import dataclass
 from typing import Any, Protocol
@@ -775,6 +776,7 @@
         self.snapshot = snapshot
         self.report = on_call_ended
         self.local = local
+        self.clock = time.monotonic  # the clock of uvloop has a resolution of 1 ms only
         self.pool = ConnectionPool(settings, probe=True)
         self.in_flight = InFlight()
         self.refusing = False
@@ -788,7 +790,6 @@
     async def start(self) -> Address:
         """Listen for callers and return the address with the port in use."""
         self.loop = asyncio.get_running_loop()
-        self.clock = self.loop.time
         await self.pool.start()
         return await self._server.start()
 
--- /dev/null
+++ b/standins/caller.py
@@ -0,0 +1,339 @@
+"""A caller: sends open-loop load at a given rate and keeps a journal of what it was told.
+
+Requests start at their scheduled times, whether or not earlier ones have ended. Timers of uvloop
+are late by up to 1 ms, so a result holds the time from the actual start and the delay of it.
+"""
+
+from __future__ import annotations
+
+import argparse
+import asyncio
+import json
+import random
+import resource
+import sys
+import time
+from dataclasses import asdict, dataclass
+
+from jaypost.calls import (
+    DEADLINE_MS,
+    ERROR,
+    FINAL,
+    HOST,
+    IDEMPOTENCY_KEY,
+    REQUEST_ID,
+    RUN,
+    TARGET,
+    TENANT,
+)
+from jaypost.codecs import RequestHead, ResponseHead
+from jaypost.pools import CallFailed, ConnectionPool, PooledExchange, Receiver
+from jaypost.records import Address
+from jaypost.settings import HttpCodec, parse_address
+from standins.node_settings import node_settings
+from standins.target import run_loop
+
+KEPT_BODY_BYTES = 4096
+
+
+@dataclass(frozen=True, slots=True)
+class CallPlan:
+    """What one call of the load looks like.
+
+    Parameters
+    ----------
+    service : str
+        Value of the host header.
+    method, path : str
+        Request line.
+    body : bytes
+        Request body.
+    tenant : str
+        Tenant; empty means none is named.
+    deadline_ms : int
+        Deadline; 0 means none is named.
+    key : str
+        Idempotency key; empty means none.
+    target_id : str
+        Target to name as a node would, for calls to a peer port; empty for callers.
+    """
+
+    service: str
+    method: str = "GET"
+    path: str = "/work/0"
+    body: bytes = b""
+    tenant: str = ""
+    deadline_ms: int = 0
+    key: str = ""
+    target_id: str = ""
+
+
+@dataclass(frozen=True, slots=True)
+class CallResult:
+    """What a caller was told about one call.
+
+    Parameters
+    ----------
+    request_id : str
+        Identifier that the caller gave.
+    method, path : str
+        Request line.
+    at_s : float
+        Scheduled start, counted from the start of the load.
+    late_s : float
+        Delay of the actual start, the caller's own fault.
+    latency_s : float
+        Time from the actual start to the end of the response.
+    status : int
+        Status; 0 when no response arrived.
+    error, run : str
+        Error kind and run state told; ``connection`` when the connection failed.
+    final : bool
+        Whether the response must not be retried.
+    complete : bool
+        Whether the response was complete.
+    own : bool
+        Whether the response and, when it names a request, its body are those of this request.
+    body_bytes : int
+        Size of the response body.
+    """
+
+    request_id: str
+    method: str
+    path: str
+    at_s: float
+    late_s: float
+    latency_s: float
+    status: int
+    error: str
+    run: str
+    final: bool
+    complete: bool
+    own: bool
+    body_bytes: int
+
+
+class _Call(Receiver):
+    """One call in progress."""
+
+    __slots__ = (
+        "_body",
+        "_caller",
+        "_head",
+        "_plan",
+        "_request_id",
+        "_scheduled",
+        "_sent",
+        "_size",
+    )
+
+    def __init__(self, caller: Caller, plan: CallPlan, request_id: str, scheduled: float) -> None:
+        self._caller = caller
+        self._plan = plan
+        self._request_id = request_id
+        self._scheduled = scheduled
+        self._sent = time.monotonic()
+        self._head: ResponseHead | None = None
+        self._body = b""
+        self._size = 0
+
+    def on_head(self, head: ResponseHead) -> None:
+        self._head = head
+
+    def on_body(self, data: bytes) -> None:
+        self._size += len(data)
+        if self._size <= KEPT_BODY_BYTES:
+            self._body += data
+
+    def on_end(self) -> None:
+        self._end(True, "")
+
+    def on_failed(self, failure: CallFailed) -> None:
+        self._end(False, "connection")
+
+    def _end(self, complete: bool, error: str) -> None:
+        head = self._head
+        control = head.control if head is not None else {}
+        self._caller.ended(
+            CallResult(
+                self._request_id,
+                self._plan.method,
+                self._plan.path,
+                self._scheduled - self._caller.started_at,
+                self._sent - self._scheduled,
+                time.monotonic() - self._sent,
+                head.status if head is not None else 0,
+                control.get(ERROR, error.encode()).decode(),
+                control.get(RUN, b"").decode(),
+                FINAL in control,
+                complete,
+                self._is_own(control.get(REQUEST_ID, b"").decode()),
+                self._size,
+            )
+        )
+
+    def _is_own(self, answered_id: str) -> bool:
+        if self._head is None:
+            return True
+        if self._body.startswith(b'{"request_id"') and self._size <= KEPT_BODY_BYTES:
+            try:
+                if json.loads(self._body)["request_id"] != self._request_id:
+                    return False
+            except ValueError:
+                pass  # a truncated body names nobody
+        return answered_id == self._request_id
+
+
+class Caller:
+    """Sends calls to one address.
+
+    Parameters
+    ----------
+    address : Address
+        Caller address of a node, or the address of a target for a direct call.
+    codec : HttpCodec
+        HTTP library.
+    keep : bool
+        Whether results are kept in `results`.
+    """
+
+    def __init__(
+        self, address: Address, codec: HttpCodec = HttpCodec.HTTPTOOLS, keep: bool = True
+    ) -> None:
+        self.results: list[CallResult] = []
+        self.in_flight = 0
+        self.started_at = 0.0
+        self._address = address
+        self._keep = keep
+        self._pool = ConnectionPool(node_settings(http_codec=codec, connect_timeout_s=2))
+        self._ended = asyncio.Event()
+        self._count = 0
+        self._prefix = f"{random.SystemRandom().getrandbits(32):08x}"
+
+    async def start(self) -> None:
+        """Get ready to send."""
+        self.loop = asyncio.get_running_loop()
+        self.started_at = time.monotonic()
+        await self._pool.start()
+
+    async def close(self) -> None:
+        """Close the connections; calls in flight fail."""
+        await self._pool.close()
+
+    def send(self, plan: CallPlan, scheduled: float | None = None) -> str:
+        """Start one call and return its request id."""
+        self._count += 1
+        request_id = f"{self._prefix}-{self._count}"
+        control = {HOST: plan.service.encode(), REQUEST_ID: request_id.encode()}
+        if plan.tenant:
+            control[TENANT] = plan.tenant.encode()
+        if plan.deadline_ms:
+            control[DEADLINE_MS] = b"%d" % plan.deadline_ms
+        if plan.key:
+            control[IDEMPOTENCY_KEY] = plan.key.encode()
+        if plan.target_id:
+            control[TARGET] = plan.target_id.encode()
+        length = len(plan.body) if plan.body or plan.method in ("POST", "PUT", "PATCH") else None
+        head = RequestHead(plan.method, plan.path, control, [], length)
+        call = _Call(self, plan, request_id, scheduled or time.monotonic())
+        self.in_flight += 1
+        self._pool.start_exchange(PooledExchange(self._address, head, plan.body, True, call))
+        return request_id
+
+    async def run(self, plans: list[CallPlan], rate: float, duration_s: float) -> None:
+        """Send calls at `rate` per second, in turn from `plans`, and wait for their ends."""
+        start = time.monotonic()
+        for number in range(int(rate * duration_s)):
+            scheduled = start + number / rate
+            delay_s = scheduled - time.monotonic()
+            if delay_s > 0:
+                await asyncio.sleep(delay_s)
+            elif number % 64 == 0:
+                await asyncio.sleep(0)
+            self.send(plans[number % len(plans)], scheduled)
+        await self.wait_idle()
+
+    async def wait_idle(self) -> None:
+        """Wait until no call is in flight."""
+        while self.in_flight:
+            self._ended.clear()
+            await self._ended.wait()
+
+    def ended(self, result: CallResult) -> None:
+        """Take the result of a call."""
+        self.in_flight -= 1
+        self._ended.set()
+        if self._keep:
+            self.results.append(result)
+
+
+def _percentile(values: list[float], percent: int) -> float:
+    if not values:
+        return 0.0
+    return sorted(values)[min(len(values) * percent // 100, len(values) - 1)]
+
+
+async def _run(arguments: argparse.Namespace) -> None:
+    caller = Caller(arguments.address, HttpCodec(arguments.codec))
+    await caller.start()
+    plans = [
+        CallPlan(
+            arguments.service,
+            arguments.method,
+            path,
+            b"x" * arguments.body_bytes,
+            arguments.tenant,
+            arguments.deadline_ms,
+            target_id=arguments.target_id,
+        )
+        for path in arguments.path
+    ]
+    await caller.run(plans[:1], arguments.rate, arguments.warm_up_s)
+    warm = len(caller.results)
+    usage = resource.getrusage(resource.RUSAGE_SELF)
+    await caller.run(plans, arguments.rate, arguments.duration_s)
+    after = resource.getrusage(resource.RUSAGE_SELF)
+    measured = caller.results[warm:]
+    await caller.close()
+    if arguments.journal:
+        for result in measured:
+            print(json.dumps(asdict(result)))
+        return
+    latencies = [1000 * result.latency_s for result in measured]
+    cpu_s = after.ru_utime + after.ru_stime - usage.ru_utime - usage.ru_stime
+    summary = {
+        "calls": len(measured),
+        "failed": sum(result.status != 200 or not result.complete for result in measured),
+        "not_own": sum(not result.own for result in measured),
+        "p50_ms": _percentile(latencies, 50),
+        "p99_ms": _percentile(latencies, 99),
+        "max_ms": _percentile(latencies, 100),
+        "late_p99_ms": _percentile([1000 * result.late_s for result in measured], 99),
+        "cpu_us_per_call": 1e6 * cpu_s / max(1, len(measured)),
+    }
+    print(json.dumps(summary), file=sys.stdout, flush=True)
+
+
+def main() -> None:
+    """Run a caller as a process; prints a summary, or the journal as JSON lines."""
+    parser = argparse.ArgumentParser(description=__doc__.splitlines()[0] if __doc__ else None)
+    parser.add_argument("address", type=parse_address)
+    parser.add_argument("--service", default="orders")
+    parser.add_argument("--method", default="GET")
+    parser.add_argument("--path", action="append", default=[])
+    parser.add_argument("--body-bytes", type=int, default=0)
+    parser.add_argument("--tenant", default="")
+    parser.add_argument("--deadline-ms", type=int, default=0)
+    parser.add_argument("--target-id", default="", help="target to name, for a peer port")
+    parser.add_argument("--rate", type=float, default=100.0, help="calls per second")
+    parser.add_argument("--duration-s", type=float, default=5.0)
+    parser.add_argument("--warm-up-s", type=float, default=0.5)
+    parser.add_argument("--codec", default=HttpCodec.HTTPTOOLS, choices=list(HttpCodec))
+    parser.add_argument("--journal", action="store_true", help="print every result")
+    arguments = parser.parse_args()
+    arguments.path = arguments.path or ["/work/0"]
+    run_loop(lambda: _run(arguments))
+
+
+if __name__ == "__main__":
+    main()
--- a/tests/harness.py
+++ b/tests/harness.py
@@ -8,6 +8,8 @@
 from contextlib import asynccontextmanager
 from dataclasses import dataclass, field, replace
 
+import uvloop
+
 from jaypost.calls import CallEnded
 from jaypost.egress import Egress
 from jaypost.ingress import Ingress
@@ -233,3 +235,10 @@
     value = json.loads(reply.body)
     assert isinstance(value, dict)
     return value
+
+
+class UvloopPolicy(asyncio.DefaultEventLoopPolicy):
+    """Runs tests on the event loop that nodes use."""
+
+    def new_event_loop(self) -> asyncio.AbstractEventLoop:
+        return uvloop.new_event_loop()
--- a/tests/test_ingress.py
+++ b/tests/test_ingress.py
@@ -4,11 +4,16 @@
 
 import pytest
 
-from tests.harness import content, mesh
+from tests.harness import UvloopPolicy, content, mesh
 
 CODECS = ("httptools", "h11")
 
 
+@pytest.fixture(scope="module")
+def event_loop_policy() -> UvloopPolicy:
+    return UvloopPolicy()
+
+
 @pytest.mark.parametrize("codec", CODECS)
 @pytest.mark.parametrize("targets", [(1,), (0, 1)], ids=["local", "two hops"])
 async def test_response_is_whole_and_for_the_request(codec: str, targets: tuple[int, ...]) -> None:
