--- a/jaypost/ingress.py
+++ b/jaypost/ingress.py
@@ -516,10 +516,11 @@
             self._attempt(hedge=True)
 
     def _peer_silent(self, attempt: Attempt) -> None:
-        if attempt in self._live and self._winner is None:
-            placed = attempt.placed
-            if isinstance(attempt.exchange, PooledExchange):
-                self._ingress.pool.close_silent(placed.peer_address, attempt.started_at)
+        exchange = attempt.exchange
+        if attempt not in self._live or self._winner is not None:
+            return
+        if isinstance(exchange, PooledExchange) and exchange.sent_at is not None:
+            self._ingress.pool.close_silent(attempt.placed.peer_address, exchange.sent_at)
 
     def attempt_head(self, attempt: Attempt, head: ResponseHead) -> None:
         """Deliver the response, or note why it is not delivered."""
--- a/standins/target.py
+++ b/standins/target.py
@@ -208,12 +208,13 @@
 
     def _response_head(self, status: int, length: int | None) -> ResponseHead:
         assert self._head is not None
-        control = {}
+        control: dict[bytes, bytes] = {}
         request_id = self._target.behaviour.crossed_id.encode() or self._head.control.get(
             REQUEST_ID
         )
         if request_id:
             control[REQUEST_ID] = request_id
+        control |= self._target.extra_headers
         return ResponseHead(status, control, [(b"content-type", b"application/json")], length)
 
     def _answer(self, status: int, body: bytes) -> None:
@@ -293,6 +294,7 @@
         self.most_running = 0
         self.port = 0
         self.keep_journal = True
+        self.extra_headers: dict[bytes, bytes] = {}
         self.idle = asyncio.Event()
         self.idle.set()
         self._journal_file = journal_file
