--- /dev/null
+++ b/bench/service.py
@@ -0,0 +1,669 @@
+"""Measures the service of a fleet of processes on loopback against two baselines.
+
+Run ``python -m bench.service SCENARIO --deployment association|cooperativa``. Every policy runs in
+a fleet of its own (a store, one node and one target per host), one fleet at a time, in turn within
+each repetition and with the same arrivals. Links between regions have no delay here.
+"""
+
+from __future__ import annotations
+
+import argparse
+import asyncio
+import json
+import random
+import re
+import subprocess
+import sys
+import tempfile
+import time
+from collections import Counter
+from collections.abc import Callable, Iterable, Mapping, Sequence
+from dataclasses import asdict, dataclass, field, replace
+from pathlib import Path
+
+import uvloop
+
+from jaypost.records import Address
+from standins.caller import Caller, CallPlan, CallResult
+from standins.processes import Fleet, NodePlace, http, http_json, place_node, wait_until
+
+JAYPOST = "jaypost"
+POLICIES = ("round-robin", "two-choices", JAYPOST)
+DOMAINS = (("a1", "a"), ("a2", "a"), ("b1", "b"), ("b2", "b"))
+START_TIMEOUT_S = 30.0
+SEGMENT_TIMEOUT_S = 120.0
+RESTART_TIMEOUT_S = 30.0
+SETTLE_S = 1.0
+WARM_UP_S = 2.0
+READY_POLL_S = 0.1
+SHORT_MS = 100
+LONG_MS = 4000
+LONG_SHARE = 0.03
+LONG_PREFIX = "/long/"
+STEADY_LOAD = 0.7
+STEADY_S = 12.0
+LONG_S = 20.0
+CREST_LOW = 0.5
+CREST_HIGH = 1.5
+CREST_RISE_S = 2.0
+CREST_PEAK_S = 4.0
+CREST_EDGE_S = 2.0
+CREST_TIMEOUT_MS = 1000
+STEADY_TIMEOUT_MS = 30_000
+SLOW_FACTOR = 5
+SLOW_S = 0.5
+SLOW_PERIOD_S = 2.0
+FAIL_STATUS = 500
+FAIL_RATE_PER_S = 100.0
+FAIL_S = 6.0
+CHAIN_DEPTHS = (2, 4, 8)
+CHAIN_HOSTS = 8
+CHAIN_RATE_PER_S = 40.0
+RESTART_LOAD = 0.4
+TRUE_REFUSALS = frozenset(
+    {"slots_full", "queue_full", "deadline_too_short", "rate_limited", "concurrency_limited"}
+)
+
+
+@dataclass(frozen=True, slots=True)
+class Service:
+    """A service of a deployment: its targets, one per host, and their slots."""
+
+    name: str
+    targets: int
+    slots: int
+
+    @property
+    def capacity(self) -> float:
+        """Short calls per second that its slots can carry."""
+        return self.targets * self.slots * 1000 / SHORT_MS
+
+
+DEPLOYMENTS: Mapping[str, tuple[Service, ...]] = {
+    "association": (Service("portal", 7, 12), Service("warehouse", 4, 12)),
+    "cooperativa": (Service("commissions", 8, 9), Service("workshop", 4, 9)),
+}
+
+
+@dataclass(frozen=True, slots=True)
+class Columns:
+    """Columns of the rows of the table that a scenario sets."""
+
+    timeout_ms: int = STEADY_TIMEOUT_MS
+    long_prefixes: str = ""
+    hedge_ms: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class Load:
+    """Open-loop load on the services: Poisson arrivals at a share of the capacity.
+
+    Parameters
+    ----------
+    name : str
+        Name of the segment.
+    duration_s : float
+        Length of the load.
+    share_at : callable
+        Share of the capacity by the time since the start.
+    seed : str
+        Seed of the arrivals.
+    long_share : float
+        Share of the calls that are long work.
+    post_share : float
+        Share of the calls that may not be repeated.
+    """
+
+    name: str
+    duration_s: float
+    share_at: Callable[[float], float]
+    seed: str
+    long_share: float = 0.0
+    post_share: float = 0.0
+
+
+@dataclass(slots=True)
+class Segment:
+    """The calls of one load: what callers were told, by service."""
+
+    name: str
+    results_by_service: dict[str, list[CallResult]] = field(default_factory=dict)
+
+
+@dataclass(frozen=True, slots=True)
+class RunKey:
+    """Names one load under one policy."""
+
+    scenario: str
+    policy: str
+    repetition: int
+    segment: str
+
+
+@dataclass(frozen=True, slots=True)
+class Figures:
+    """Figures of one service under one load; latencies are those of answered short work."""
+
+    key: RunKey
+    service: str
+    offered: int
+    runs_per_call: float
+    goodput_per_s: float = 0.0
+    capacity_per_s: float = 0.0
+    p50_ms: float = 0.0
+    p99_ms: float = 0.0
+    p999_ms: float = 0.0
+    caller_late_p99_ms: float = 0.0
+    refusals_by_kind: Mapping[str, int] = field(default_factory=dict)
+    failed_by_kind: Mapping[str, int] = field(default_factory=dict)
+    not_run_but_ran: int = 0
+    post_run_twice: int = 0
+    get_run_twice: int = 0
+
+
+def percentile(values: Iterable[float], fraction: float) -> float:
+    """Return a percentile; 0 when there is no value."""
+    ordered = sorted(values)
+    return ordered[min(len(ordered) - 1, int(fraction * len(ordered)))] if ordered else 0.0
+
+
+def crest_share(at_s: float) -> float:
+    """Return the load of the crest: low, a rise, the peak, a fall, low."""
+    into_rise_s = at_s - CREST_EDGE_S
+    fall_s = CREST_EDGE_S + 2 * CREST_RISE_S + CREST_PEAK_S - at_s
+    height = min(1.0, max(0.0, min(into_rise_s, fall_s) / CREST_RISE_S))
+    return CREST_LOW + (CREST_HIGH - CREST_LOW) * height
+
+
+def steady_share(at_s: float) -> float:
+    """Return the load of the scenarios without a crest."""
+    return STEADY_LOAD
+
+
+class Bed:
+    """One fleet of a policy with its callers.
+
+    Parameters
+    ----------
+    policy : str
+        Policy of the ingress.
+    services : sequence of Service
+        Services; each target gets a host with a node.
+    columns : Columns
+        Columns of every row.
+    directory : Path
+        Directory of logs and journals.
+    """
+
+    def __init__(
+        self, policy: str, services: Sequence[Service], columns: Columns, directory: Path
+    ) -> None:
+        self.policy = policy
+        self.services = services
+        self.fleet = Fleet(directory)
+        self.places: list[NodePlace] = []
+        self.service_by_host: dict[str, Service] = {}
+        self._columns = columns
+        self._callers: dict[str, Caller] = {}
+        self._closed_hosts: set[str] = set()
+
+    async def start(self) -> None:
+        """Start all processes and wait until every node can route to every target."""
+        self.fleet.start_store()
+        self._import_table()
+        for service in self.services:
+            for _ in range(service.targets):
+                domain, region = DOMAINS[len(self.places) % len(DOMAINS)]
+                place = place_node(f"host-{len(self.places)}", domain, region)
+                self.places.append(place)
+                self.service_by_host[place.node_id] = service
+                self.start_node(place)
+                self.start_target(place)
+        ready = await asyncio.to_thread(
+            wait_until, lambda: all(map(self.can_route, self.places)), START_TIMEOUT_S
+        )
+        if ready is None:
+            raise RuntimeError(f"fleet not ready after {START_TIMEOUT_S} s: {self.fleet.directory}")
+        for place in self.places:
+            self._callers[place.node_id] = caller = Caller(place.caller)
+            await caller.start()
+        await asyncio.sleep(SETTLE_S)
+
+    async def close(self) -> Mapping[str, int | None]:
+        """End all processes and return their exit codes."""
+        for caller in self._callers.values():
+            await caller.close()
+        return await self.fleet.close()
+
+    def start_node(self, place: NodePlace) -> None:
+        """Start the node of a host."""
+        if self.policy.startswith(JAYPOST):
+            self.fleet.start_node(place, ["--raise-on-violation", "true"])
+        else:
+            flags = ["--policy", self.policy]
+            self.fleet.start_node(place, flags, module="bench.baselines")
+
+    def start_target(self, place: NodePlace, drain_s: float = 4.0) -> None:
+        """Start the target of a host."""
+        service = self.service_by_host[place.node_id]
+        self.fleet.start_target(
+            self.target_id(place),
+            service.name,
+            place.node_id,
+            service.slots,
+            ["--drain-s", str(drain_s)],
+        )
+
+    @staticmethod
+    def target_id(place: NodePlace) -> str:
+        """Return the id of the target of a host."""
+        return f"target-of-{place.node_id}"
+
+    def target_address(self, place: NodePlace) -> Address:
+        """Return where the target of a host listens."""
+        log = (self.fleet.directory / f"{self.target_id(place)}.log").read_text()
+        return Address("127.0.0.1", int(re.findall(r"listening port=(\d+)", log)[-1]))
+
+    def can_route(self, place: NodePlace) -> bool:
+        """Tell whether a node is ready and knows every target as ready."""
+        if http("GET", place.admin, "/readyz")[0] != 200:
+            return False
+        known = [http_json(place.admin, f"/explain/{service.name}") for service in self.services]
+        counts = [len(found["targets"]) if found else 0 for found in known]
+        return counts == [service.targets for service in self.services]
+
+    def set_behaviour(self, places: Iterable[NodePlace], **values: object) -> None:
+        """Replace the behaviour of targets."""
+        for place in places:
+            body = json.dumps(values).encode()
+            status, _ = http("PUT", self.target_address(place), "/behaviour", body)
+            if status != 200:
+                raise RuntimeError(f"behaviour of {self.target_id(place)} not set: {status}")
+
+    async def offer(self, load: Load) -> Segment:
+        """Send the load from callers of all open nodes and wait for every result."""
+        rng = random.Random(load.seed)
+        segment = Segment(load.name, {service.name: [] for service in self.services})
+        mean_ms = SHORT_MS + load.long_share * (LONG_MS - SHORT_MS)
+        started = time.monotonic()
+        sends = [
+            self._offer_service(service, load, random.Random(rng.random()), mean_ms, started)
+            for service in self.services
+        ]
+        async with asyncio.timeout(SEGMENT_TIMEOUT_S):
+            ids_by_service = await asyncio.gather(*sends)
+            for caller in self._callers.values():
+                await caller.wait_idle()
+        for service, ids in zip(self.services, ids_by_service, strict=True):
+            segment.results_by_service[service.name] = self._take(ids, started)
+        return segment
+
+    async def _offer_service(
+        self, service: Service, load: Load, rng: random.Random, mean_ms: float, started: float
+    ) -> set[str]:
+        peak_per_s = CREST_HIGH * service.capacity * SHORT_MS / mean_ms
+        ids: set[str] = set()
+        at_s = 0.0
+        while (at_s := at_s + rng.expovariate(peak_per_s)) < load.duration_s:
+            is_sent = rng.random() * CREST_HIGH < load.share_at(at_s)
+            long_work, post = rng.random() < load.long_share, rng.random() < load.post_share
+            host = rng.random()
+            if not is_sent:
+                continue
+            delay_s = started + at_s - time.monotonic()
+            if delay_s > 0:
+                await asyncio.sleep(delay_s)
+            path = LONG_PREFIX + str(LONG_MS) if long_work else f"/work/{SHORT_MS}"
+            plan = CallPlan(service.name, "POST" if post else "GET", path)
+            ids.add(self._open_caller(host).send(plan, started + at_s))
+        return ids
+
+    def _open_caller(self, point: float) -> Caller:
+        names = [name for name in self._callers if name not in self._closed_hosts]
+        return self._callers[names[int(point * len(names))]]
+
+    def _take(self, ids: set[str], started: float) -> list[CallResult]:
+        """Return the results of calls, with times since the start of the segment."""
+        return [
+            replace(result, at_s=result.at_s + caller.started_at - started)
+            for caller in self._callers.values()
+            for result in caller.results
+            if result.request_id in ids
+        ]
+
+    async def send_paths(self, service: str, path: str, rate: float, duration_s: float) -> int:
+        """Send calls of one path at a rate to the nodes in turn and return their number."""
+        callers = list(self._callers.values())
+        sends = [
+            caller.run([CallPlan(service, path=path)], rate / len(callers), duration_s)
+            for caller in callers
+        ]
+        async with asyncio.timeout(SEGMENT_TIMEOUT_S):
+            await asyncio.gather(*sends)
+        return int(rate / len(callers) * duration_s) * len(callers)
+
+    async def follow_readiness(self) -> None:
+        """Keep callers away from nodes that are not ready, as a load balancer does."""
+        while True:
+            for place in self.places:
+                status, _ = await asyncio.to_thread(http, "GET", place.admin, "/readyz")
+                if status == 200:
+                    self._closed_hosts.discard(place.node_id)
+                else:
+                    self._closed_hosts.add(place.node_id)
+            await asyncio.sleep(READY_POLL_S)
+
+    def runs(self) -> Counter[str]:
+        """Count how often targets ran each request id."""
+        return Counter(entry["request_id"] for entry in self._entries())
+
+    def runs_by_path(self) -> Counter[str]:
+        """Count the runs of each path."""
+        return Counter(entry["path"] for entry in self._entries())
+
+    def _entries(self) -> Iterable[Mapping[str, str]]:
+        for path in self.fleet.directory.glob("*.journal"):
+            for line in path.read_text().splitlines():
+                entry = json.loads(line)
+                if not entry["end"]:
+                    yield entry
+
+    def _import_table(self) -> None:
+        columns = self._columns
+        lines = ["service,timeout_ms,long_prefixes,hedge_ms"]
+        lines += [
+            f"{service.name},{columns.timeout_ms},{columns.long_prefixes},{columns.hedge_ms}"
+            for service in self.services
+        ]
+        path = self.fleet.directory / "table.csv"
+        path.write_text("\n".join(lines) + "\n")
+        wait_until(lambda: http_json(self.fleet.store_address, "/v1/stats") is not None, 10.0)
+        environment = {"JAYPOST_STORE": str(self.fleet.store_address), "JAYPOST_AUTHOR": "bench"}
+        command = [sys.executable, "-m", "jaypost.cli", "table", "import", str(path)]
+        subprocess.run(command, env=environment, check=True, capture_output=True)
+
+
+class Bench:
+    """Runs scenarios and collects their figures."""
+
+    def __init__(self, arguments: argparse.Namespace) -> None:
+        self._arguments = arguments
+        self._services = DEPLOYMENTS[arguments.deployment]
+        self.figures: list[Figures] = []
+
+    async def run(self, scenario: str) -> None:
+        """Run one scenario, all policies in turn in each repetition."""
+        for repetition in range(self._arguments.repetitions):
+            await RUN_BY_SCENARIO[scenario](self, repetition)
+
+    async def crest(self, repetition: int) -> None:
+        """Measure service at the peak of a demand swing."""
+        duration_s = 2 * (CREST_EDGE_S + CREST_RISE_S) + CREST_PEAK_S
+        load = Load("crest", duration_s, crest_share, self._seed("crest", repetition))
+        for policy in self._arguments.policy:
+            bed = self._bed("crest", policy, repetition, Columns(CREST_TIMEOUT_MS))
+            await self._measure(bed, "crest", repetition, [load])
+
+    async def long_work(self, repetition: int) -> None:
+        """Measure short work beside long work against the same short work alone."""
+        seed = self._seed("long", repetition)
+        mean = 1 + LONG_SHARE * (LONG_MS / SHORT_MS - 1)
+        short_share = STEADY_LOAD * (1 - LONG_SHARE) / mean
+        loads = [
+            Load("short-only", LONG_S, lambda at_s: short_share, seed),
+            Load("steady", STEADY_S, steady_share, seed),
+            Load("long", LONG_S, steady_share, seed, long_share=LONG_SHARE),
+        ]
+        for policy in self._arguments.policy:
+            bed = self._bed("long", policy, repetition, Columns(long_prefixes=LONG_PREFIX))
+            await self._measure(bed, "long", repetition, loads)
+
+    async def straggler(self, repetition: int) -> None:
+        """Measure short work while one target of each service is slow for short times."""
+        seed = self._seed("straggler", repetition)
+        policies = [*self._arguments.policy]
+        if self._arguments.hedge_ms and JAYPOST in policies:
+            policies.append(f"{JAYPOST}-hedged")
+        for policy in policies:
+            hedge_ms = self._arguments.hedge_ms if policy.endswith("-hedged") else 0
+            bed = self._bed("straggler", policy, repetition, Columns(hedge_ms=hedge_ms))
+            loads = [
+                Load("steady", STEADY_S, steady_share, seed),
+                Load("straggler", STEADY_S, steady_share, seed),
+            ]
+            await self._measure(bed, "straggler", repetition, loads)
+
+    async def amplification(self, repetition: int) -> None:
+        """Count the calls that reach targets while every target fails."""
+        for depth in (1, *CHAIN_DEPTHS):
+            names = [f"level-{number}" for number in range(depth)]
+            services = [Service(name, max(1, CHAIN_HOSTS // depth), 12) for name in names]
+            for pass_control in (True, False) if depth > 1 else (True,):
+                segment = f"depth {depth}, headers {'passed on' if pass_control else 'dropped'}"
+                directory = self._directory("amplification", f"{depth}-{pass_control}", repetition)
+                bed = Bed(JAYPOST, services, Columns(), directory)
+                await self._amplify(bed, segment, names, pass_control, repetition)
+
+    async def _amplify(
+        self, bed: Bed, segment: str, names: list[str], pass_control: bool, repetition: int
+    ) -> None:
+        path = f"/chain/{','.join(names[1:])}/0" if len(names) > 1 else "/work/0"
+        rate = CHAIN_RATE_PER_S if len(names) > 1 else FAIL_RATE_PER_S
+        try:
+            await bed.start()
+            bed.set_behaviour(bed.places, fail_status=FAIL_STATUS, pass_control=pass_control)
+            offered = await bed.send_paths(names[0], path, rate, FAIL_S)
+        finally:
+            await bed.close()
+        runs = bed.runs_by_path()
+        for level, name in enumerate(names):
+            rest = names[level + 1 :]
+            level_path = f"/chain/{','.join(rest)}/0" if rest else "/work/0"
+            key = RunKey("amplification", JAYPOST, repetition, segment)
+            self._add(Figures(key, name, offered, runs[level_path] / offered))
+
+    async def restart(self, repetition: int) -> None:
+        """Restart every node, then every target, under load."""
+        bed = self._bed("restart", JAYPOST, repetition, Columns(10_000))
+        stop = asyncio.Event()
+        share = RESTART_LOAD
+
+        def share_until_stop(at_s: float) -> float:
+            return 0.0 if stop.is_set() else share
+
+        seed = self._seed("restart", repetition)
+        await bed.start()
+        try:
+            follow = asyncio.create_task(bed.follow_readiness())
+            load = Load("restart", SEGMENT_TIMEOUT_S - 10, share_until_stop, seed, post_share=0.5)
+            offer = asyncio.create_task(bed.offer(load))
+            codes = await _restart_all(bed)
+            await asyncio.sleep(SETTLE_S)
+            stop.set()
+            segment = await offer
+            follow.cancel()
+        finally:
+            await bed.close()
+        print(f"restart: exit codes {dict(Counter(codes))}", flush=True)
+        self._add_segment(bed, "restart", repetition, segment)
+
+    async def _measure(
+        self, bed: Bed, scenario: str, repetition: int, loads: Sequence[Load]
+    ) -> None:
+        segments = []
+        try:
+            await bed.start()
+            for load in loads:
+                slow = asyncio.create_task(_slow_down(bed)) if load.name == "straggler" else None
+                segments.append(await bed.offer(load))
+                if slow is not None:
+                    slow.cancel()
+                    await asyncio.gather(slow, return_exceptions=True)
+        finally:
+            await bed.close()
+        for segment in segments:
+            self._add_segment(bed, scenario, repetition, segment)
+
+    def _add_segment(self, bed: Bed, scenario: str, repetition: int, segment: Segment) -> None:
+        runs = bed.runs()
+        for service in bed.services:
+            results = segment.results_by_service[service.name]
+            key = RunKey(scenario, bed.policy, repetition, segment.name)
+            self._add(_figures(key, service, results, runs))
+
+    def _add(self, figures: Figures) -> None:
+        self.figures.append(figures)
+        print(_line(figures), flush=True)
+
+    def _bed(self, scenario: str, policy: str, repetition: int, columns: Columns) -> Bed:
+        directory = self._directory(scenario, policy, repetition)
+        return Bed(policy, self._services, columns, directory)
+
+    def _directory(self, scenario: str, name: str, repetition: int) -> Path:
+        directory: Path = self._arguments.directory
+        return directory / f"{scenario}-{name}-{repetition}"
+
+    def _seed(self, scenario: str, repetition: int) -> str:
+        return f"{self._arguments.seed}-{scenario}-{repetition}"
+
+
+async def _slow_down(bed: Bed) -> None:
+    """Make the first target of each service slow for a short time in each period."""
+    slow = [
+        next(place for place in bed.places if bed.service_by_host[place.node_id] is service)
+        for service in bed.services
+    ]
+    extra_ms = SHORT_MS * (SLOW_FACTOR - 1)
+    while True:
+        started = time.monotonic()
+        await asyncio.to_thread(bed.set_behaviour, slow, slow_ms=extra_ms)
+        await asyncio.sleep(started + SLOW_S - time.monotonic())
+        await asyncio.to_thread(bed.set_behaviour, slow, slow_ms=0)
+        await asyncio.sleep(started + SLOW_PERIOD_S - time.monotonic())
+
+
+async def _restart_all(bed: Bed) -> list[int | None]:
+    """Restart the nodes, then the targets, one host of each service at a time."""
+    hosts_by_service = [
+        [place for place in bed.places if bed.service_by_host[place.node_id] is service]
+        for service in bed.services
+    ]
+    codes: list[int | None] = []
+    for restart in (_restart_node, _restart_target):
+        for number in range(max(map(len, hosts_by_service))):
+            hosts = [hosts[number] for hosts in hosts_by_service if number < len(hosts)]
+            codes += await asyncio.gather(*(restart(bed, host) for host in hosts))
+    return codes
+
+
+async def _restart_node(bed: Bed, place: NodePlace) -> int | None:
+    code = await asyncio.to_thread(bed.fleet.process_by_name[place.node_id].stop)
+    bed.start_node(place)
+    await asyncio.to_thread(wait_until, lambda: bed.can_route(place), RESTART_TIMEOUT_S)
+    return code
+
+
+async def _restart_target(bed: Bed, place: NodePlace) -> int | None:
+    code = await asyncio.to_thread(bed.fleet.process_by_name[bed.target_id(place)].stop)
+    bed.start_target(place)
+    await asyncio.to_thread(wait_until, lambda: bed.can_route(place), RESTART_TIMEOUT_S)
+    return code
+
+
+def _figures(
+    key: RunKey, service: Service, results: Sequence[CallResult], runs: Counter[str]
+) -> Figures:
+    counted = [result for result in results if result.at_s >= WARM_UP_S]
+    good = [result for result in counted if result.status == 200 and result.complete]
+    short_s = [result.latency_s for result in good if not result.path.startswith(LONG_PREFIX)]
+    bad = [result for result in counted if result.status != 200 or not result.complete]
+    kinds = Counter(_failure_kind(result) for result in bad)
+    return Figures(
+        key,
+        service.name,
+        len(counted),
+        sum(runs[result.request_id] for result in counted) / max(1, len(counted)),
+        _goodput(good, key.scenario),
+        service.capacity,
+        1000 * percentile(short_s, 0.5),
+        1000 * percentile(short_s, 0.99),
+        1000 * percentile(short_s, 0.999),
+        1000 * percentile((result.late_s for result in counted), 0.99),
+        {kind: count for kind, count in kinds.items() if kind in TRUE_REFUSALS},
+        {kind: count for kind, count in kinds.items() if kind not in TRUE_REFUSALS},
+        sum(runs[result.request_id] > 0 for result in results if result.run == "not-run"),
+        sum(runs[result.request_id] > 1 for result in results if result.method == "POST"),
+        sum(runs[result.request_id] > 1 for result in results if result.method != "POST"),
+    )
+
+
+def _failure_kind(result: CallResult) -> str:
+    if result.error:
+        return result.error
+    return "cut" if not result.complete else f"status {result.status}"
+
+
+def _goodput(good: Sequence[CallResult], scenario: str) -> float:
+    """Return the answers per second, at the peak when the load has one."""
+    ends_s = [result.at_s + result.late_s + result.latency_s for result in good]
+    start_s, end_s = WARM_UP_S, max(ends_s, default=WARM_UP_S + 1.0)
+    if scenario == "crest":
+        start_s = CREST_EDGE_S + CREST_RISE_S
+        end_s = start_s + CREST_PEAK_S
+    return sum(start_s <= at_s < end_s for at_s in ends_s) / (end_s - start_s)
+
+
+HEADINGS = (
+    f"{'policy':15} {'segment':28} {'service':11} {'calls':>6} {'good/s':>7} {'p50':>6} {'p99':>6}"
+    f" {'p99.9':>6} {'late':>5} {'runs':>6}"
+    " refused / failed / not run but ran / POST run twice / GET run twice"
+)
+
+
+def _line(figures: Figures) -> str:
+    key = figures.key
+    return (
+        f"{key.policy:15} {key.segment:28} {figures.service:11} {figures.offered:6}"
+        f" {figures.goodput_per_s:7.1f} {figures.p50_ms:6.1f} {figures.p99_ms:6.1f}"
+        f" {figures.p999_ms:6.1f} {figures.caller_late_p99_ms:5.1f} {figures.runs_per_call:6.3f}"
+        f" {dict(figures.refusals_by_kind)} / {dict(figures.failed_by_kind)}"
+        f" / {figures.not_run_but_ran} / {figures.post_run_twice} / {figures.get_run_twice}"
+    )
+
+
+RUN_BY_SCENARIO = {
+    "crest": Bench.crest,
+    "long": Bench.long_work,
+    "straggler": Bench.straggler,
+    "amplification": Bench.amplification,
+    "restart": Bench.restart,
+}
+
+
+def main() -> None:
+    """Run scenarios and print their figures."""
+    parser = argparse.ArgumentParser(description=__doc__.splitlines()[0] if __doc__ else None)
+    parser.add_argument("scenario", choices=[*RUN_BY_SCENARIO, "all"])
+    parser.add_argument("--deployment", choices=list(DEPLOYMENTS), default="association")
+    parser.add_argument("--policy", action="append", choices=POLICIES, help="default: all")
+    parser.add_argument("--repetitions", type=int, default=1)
+    parser.add_argument("--hedge-ms", type=int, default=200, help="hedged variant of straggler")
+    parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument("--directory", type=Path, help="logs and journals; default: temporary")
+    parser.add_argument("--json", type=Path, help="file for the figures")
+    arguments = parser.parse_args()
+    arguments.policy = arguments.policy or list(POLICIES)
+    arguments.directory = arguments.directory or Path(tempfile.mkdtemp(prefix="jaypost-service-"))
+    print(f"seed {arguments.seed}, {arguments.deployment}, logs in {arguments.directory}")
+    bench = Bench(arguments)
+    for scenario in RUN_BY_SCENARIO if arguments.scenario == "all" else [arguments.scenario]:
+        print(f"--- {scenario}; latencies in ms\n{HEADINGS}", flush=True)
+        uvloop.run(bench.run(scenario))
+        if arguments.json:
+            arguments.json.write_text(
+                json.dumps([asdict(item) for item in bench.figures], indent=1)
+            )
+
+
+if __name__ == "__main__":
+    main()
--- a/standins/target.py
+++ b/standins/target.py
@@ -1,8 +1,10 @@
 """A target: executes requests, announces itself to its node and keeps a journal of what it ran.
 
-Paths: ``/work/MS`` answers after MS milliseconds, ``/bytes/N`` streams N bytes, ``/echo`` returns
-the body, ``GET /journal`` returns the journal as JSON lines, and ``PUT /behaviour`` replaces the
-`Behaviour` by the JSON object in the body.
+Paths: ``/work/MS`` and ``/long/MS`` answer after MS milliseconds, ``/bytes/N`` streams N bytes,
+``/echo`` returns the body, ``/chain/A,B/MS`` calls service A through the node with ``/chain/B/MS``
+and answers with its status (the last service of a chain gets ``/work/MS``), ``GET /journal``
+returns the journal as JSON lines, and ``PUT /behaviour`` replaces the `Behaviour` by the JSON
+object in the body.
 """
 
 from __future__ import annotations
@@ -15,11 +17,12 @@
 from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass, replace
+from http import HTTPStatus
 from typing import IO, Any, cast
 
 import uvloop
 
-from jaypost.calls import HOST, REQUEST_ID
+from jaypost.calls import DEADLINE_MS, FINAL, HOST, REQUEST_ID, RETRY
 from jaypost.codecs import (
     BodyChunk,
     MessageEnd,
@@ -28,7 +31,7 @@
     ResponseHead,
     server_codec,
 )
-from jaypost.pools import CallFailed, ConnectionPool
+from jaypost.pools import CallFailed, ConnectionPool, PooledExchange, Receiver
 from jaypost.records import Address, TargetState
 from jaypost.settings import HttpCodec, parse_address
 from standins.node_settings import node_settings
@@ -36,8 +39,13 @@
 ANNOUNCE_INTERVAL_S = 2.0
 ANNOUNCE_TIMEOUT_S = 1.0
 HEADER_LIMIT_BYTES = 32_768
+WORK_PATHS = ("/work/", "/long/")
+NO_NODE = Address("127.0.0.1", 1)
 CHUNK = b"x" * 65_536
 
+# Takes the status of the next service of a chain and whether its response is final.
+ChainEnded = Callable[[int, bool], None]
+
 
 @dataclass(frozen=True, slots=True)
 class Behaviour:
@@ -57,6 +65,8 @@
         Whether the connection is closed when a request arrives, after it was run.
     crossed_id : str
         Request id put into responses in place of the right one; empty means none.
+    pass_control : bool
+        Whether calls of a chain pass on the retry header downwards and the final header upwards.
     """
 
     slow_ms: float = 0.0
@@ -65,6 +75,7 @@
     cut_after: int = -1
     close_before_head: bool = False
     crossed_id: str = ""
+    pass_control: bool = True
 
 
 @dataclass(frozen=True, slots=True)
@@ -78,6 +89,44 @@
     end: str = ""
 
 
+class ChainCall(Receiver):
+    """The call of the next service of a chain."""
+
+    def __init__(self, target: StandinTarget, request: RequestHead, ended: ChainEnded) -> None:
+        services, _, work_ms = request.target.removeprefix("/chain/").partition("/")
+        service, _, rest = services.partition(",")
+        path = f"/chain/{rest}/{work_ms}" if rest else f"/work/{work_ms}"
+        control = {HOST: service.encode()}
+        passed = (DEADLINE_MS, RETRY) if target.behaviour.pass_control else (DEADLINE_MS,)
+        control |= {name: request.control[name] for name in passed if name in request.control}
+        self._ended = ended
+        self._head: ResponseHead | None = None
+        self._exchange = PooledExchange(
+            target.node, RequestHead(request.method, path, control, [], None), b"", True, self
+        )
+        target.pool.start_exchange(self._exchange)
+
+    def on_head(self, head: ResponseHead) -> None:
+        """Keep the status."""
+        self._head = head
+
+    def on_body(self, data: bytes) -> None:
+        """Ignore the body."""
+
+    def on_end(self) -> None:
+        """Report the status and whether the response is final."""
+        assert self._head is not None
+        self._ended(self._head.status, FINAL in self._head.control)
+
+    def on_failed(self, failure: CallFailed) -> None:
+        """Report a bad gateway."""
+        self._ended(HTTPStatus.BAD_GATEWAY, False)
+
+    def cancel(self) -> None:
+        """Cancel the call."""
+        self._exchange.cancel()
+
+
 class TargetConnection(asyncio.Protocol):
     """One connection to the target."""
 
@@ -90,6 +139,9 @@
         self._body_bytes = 0
         self._entry = -1
         self._running = False
+        self._chain: ChainCall | None = None
+        self._chain_status = 0
+        self._chain_final = False
         self._timer: asyncio.TimerHandle | None = None
         self._stream_left = 0
         self._sent = 0
@@ -107,6 +159,8 @@
         self._target.connections.discard(self)
         if self._timer is not None:
             self._timer.cancel()
+        if self._chain is not None:
+            self._chain.cancel()
         self._target.cancel_waiting(self)
         if self._running:
             self._finish("cancelled")
@@ -172,19 +226,31 @@
         if behaviour.close_before_head:
             self.close()
             return
+        self._chain_status, self._chain_final = 0, False
+        if head.target.startswith("/chain/"):
+            self._chain = ChainCall(self._target, head, self._chain_ended)
+            return
         _, _, argument = head.target.rpartition("/")
-        work_ms = float(argument) if head.target.startswith("/work/") else 0.0
+        work_ms = float(argument) if head.target.startswith(WORK_PATHS) else 0.0
         delay_s = (work_ms + behaviour.slow_ms) / 1000
         if delay_s > 0:
             self._timer = self._target.loop.call_later(delay_s, self._respond)
         else:
             self._respond()
 
+    def _chain_ended(self, status: int, final: bool) -> None:
+        self._chain = None
+        if self._transport is None or not self._running:
+            return
+        self._chain_status = status
+        self._chain_final = final and self._target.behaviour.pass_control
+        self._respond()
+
     def _respond(self) -> None:
         head = self._head
         assert head is not None
         behaviour = self._target.behaviour
-        status = behaviour.fail_status or 200
+        status = behaviour.fail_status or self._chain_status or 200
         if head.target.startswith("/bytes/"):
             self._stream_left = int(head.target.rpartition("/")[2])
             self._sent = 0
@@ -214,6 +280,8 @@
         )
         if request_id:
             control[REQUEST_ID] = request_id
+        if self._chain_final:
+            control[FINAL] = b"1"
         control |= self._target.extra_headers
         return ResponseHead(status, control, [(b"content-type", b"application/json")], length)
 
@@ -274,6 +342,8 @@
         HTTP library.
     journal_file : file or None
         Where journal entries are written as JSON lines.
+    node : Address
+        Caller address of the node on its host, for calls to other services.
     """
 
     def __init__(
@@ -283,6 +353,7 @@
         slots: int,
         codec: HttpCodec = HttpCodec.HTTPTOOLS,
         journal_file: IO[str] | None = None,
+        node: Address = NO_NODE,
     ) -> None:
         self.target_id = target_id
         self.service = service
@@ -293,6 +364,8 @@
         self.connections: set[TargetConnection] = set()
         self.most_running = 0
         self.port = 0
+        self.node = node
+        self.pool = ConnectionPool(node_settings())
         self.keep_journal = True
         self.extra_headers: dict[bytes, bytes] = {}
         self.idle = asyncio.Event()
@@ -309,6 +382,7 @@
             lambda: TargetConnection(self), "127.0.0.1", port, backlog=1024
         )
         self.port = self._server.sockets[0].getsockname()[1]
+        await self.pool.start()
         return self.port
 
     def stop_listening(self) -> None:
@@ -322,7 +396,7 @@
         self.stop_listening()
         for connection in tuple(self.connections):
             connection.close()
-        await asyncio.sleep(0)
+        await self.pool.close()
 
     @property
     def running(self) -> int:
@@ -435,7 +509,12 @@
     if arguments.journal:
         journal = open(arguments.journal, "a")  # noqa: ASYNC230 - opened once, at start
     target = StandinTarget(
-        arguments.id, arguments.service, arguments.slots, HttpCodec(arguments.codec), journal
+        arguments.id,
+        arguments.service,
+        arguments.slots,
+        HttpCodec(arguments.codec),
+        journal,
+        arguments.node,
     )
     target.keep_journal = not arguments.no_journal
     port = await target.start(arguments.port)
@@ -468,6 +547,9 @@
     parser.add_argument("--port", type=int, default=0)
     parser.add_argument("--slots", type=int, default=12)
     parser.add_argument("--admin", type=parse_address, help="admin address of the node")
+    parser.add_argument(
+        "--node", type=parse_address, default=NO_NODE, help="caller address of the node, for chains"
+    )
     parser.add_argument("--codec", default=HttpCodec.HTTPTOOLS, choices=list(HttpCodec))
     parser.add_argument("--journal", help="file for the journal")
     parser.add_argument("--no-journal", action="store_true", help="keep no journal at all")
