--- a/jaypost/egress.py
+++ b/jaypost/egress.py
@@ -7,7 +7,7 @@
 import time
 from collections import deque
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from http import HTTPStatus
 
 import structlog
@@ -61,6 +61,8 @@
 log = structlog.get_logger(__name__)
 
 LOOPBACK = "127.0.0.1"
+# The timer at the end of the drain delay may be late on a busy host.
+DRAIN_TIMER_SLACK_S = 0.05
 TICK_S = 0.02
 
 _FORWARDED_CONTROL = (HOST, REQUEST_ID, TENANT, RETRY, IDEMPOTENCY_KEY)
@@ -186,6 +188,16 @@
             )
         )
 
+    @property
+    def target_id(self) -> str:
+        """Target of the call; empty before it is known."""
+        return self._target.target_id if self._target is not None else ""
+
+    def leave_queue(self) -> None:
+        """Give up waiting for a slot, because the target drains."""
+        if self._waiting:
+            self._refuse(ErrorKind.DRAINING)
+
     def on_decision(self, decision: Decision) -> None:
         """Take the decision of the admission about this call."""
         self._egress.queued_tickets.discard(self._ticket)
@@ -209,6 +221,10 @@
         if remaining_ms <= 0:
             self._refuse(ErrorKind.DEADLINE_EXCEEDED)
             return
+        may_start = self._egress.may_start(self.target_id, now)
+        if not check(may_start, "P7_work_after_drain", target=self.target_id):
+            self._refuse(ErrorKind.DRAINING)
+            return
         head = self._head
         received = head.control
         control = {name: received[name] for name in _FORWARDED_CONTROL if name in received}
@@ -517,6 +533,8 @@
         self.refusing = False
         self.target_by_id: dict[str, Target] = {}
         self.own_slots_by_service: dict[str, int] = {}
+        self._announced: tuple[Target, ...] = ()
+        self._drains_at_by_id: dict[str, float] = {}
         self.call_by_ticket: dict[str, EgressCall] = {}
         self.queued_tickets: set[str] = set()
         self._fleet_snapshot: Snapshot | None = None
@@ -536,14 +554,51 @@
         return await self._server.start()
 
     def set_targets(self, targets: tuple[Target, ...]) -> None:
-        """Replace the targets of the host."""
-        self.target_by_id = {target.target_id: target for target in targets}
+        """Replace the targets of the host.
+
+        A target that was ready and now drains takes new calls until the drain delay is over,
+        because the other nodes still send some until they know. Calls that then still wait for a
+        slot are refused.
+        """
+        self._announced = targets
+        listed = {target.target_id for target in targets}
+        for target_id in self._drains_at_by_id.keys() - listed:
+            del self._drains_at_by_id[target_id]
+        self._apply_targets()
+
+    def _apply_targets(self) -> None:
+        now = self.clock()
+        effective = tuple(self._effective(target, now) for target in self._announced)
+        self.target_by_id = {target.target_id: target for target in effective}
         self.own_slots_by_service = {}
-        for target in targets:
+        for target in effective:
             if target.state is TargetState.READY:
                 slots = self.own_slots_by_service.get(target.service, 0)
                 self.own_slots_by_service[target.service] = slots + target.slots
-        self.handle(SetTargets(targets, self.clock()))
+        self.handle(SetTargets(effective, now))
+        for ticket in tuple(self.queued_tickets):
+            call = self.call_by_ticket.get(ticket)
+            target = self.target_by_id.get(call.target_id) if call is not None else None
+            if call is not None and target is not None and target.state is TargetState.DRAINING:
+                call.leave_queue()
+
+    def _effective(self, target: Target, now: float) -> Target:
+        if target.state is not TargetState.DRAINING:
+            self._drains_at_by_id.pop(target.target_id, None)
+            return target
+        known = self.target_by_id.get(target.target_id)
+        if target.target_id not in self._drains_at_by_id:
+            was_ready = known is not None and known.state is TargetState.READY
+            delay_s = self.settings.drain_delay_s if was_ready else 0.0
+            self._drains_at_by_id[target.target_id] = now + delay_s
+            self.loop.call_later(delay_s + DRAIN_TIMER_SLACK_S, self._apply_targets)
+        if now < self._drains_at_by_id[target.target_id]:
+            return replace(target, state=TargetState.READY)
+        return target
+
+    def may_start(self, target_id: str, now: float) -> bool:
+        """Tell whether a call may still start at a target, which may be draining."""
+        return now < self._drains_at_by_id.get(target_id, float("inf")) + DRAIN_TIMER_SLACK_S
 
     def open_call(self, responder: Responder, head: RequestHead) -> IncomingCall:
         """Begin a call of a peer, or of the ingress of this node."""
--- a/tests/test_egress.py
+++ b/tests/test_egress.py
@@ -53,6 +53,7 @@
         if name in ("draining", "starting"):
             node.state = TargetState(name)
             built.publish()
+            await asyncio.sleep(4 * node.settings.drain_delay_s)
         elif name == "no row":
             built.snapshot = replace(built.snapshot, rows_by_service={})
         elif name == "limited":
@@ -175,3 +176,23 @@
         assert reply.headers["x-jaypost-final"] == "1"
         assert (await client.call("OPTIONS", "*")).status == 204
         await client.close()
+
+
+async def test_draining_target_takes_calls_until_the_delay_is_over(codec: str) -> None:
+    """Guards against calls refused before the fleet knows of a drain, and late starts (P7)."""
+    async with mesh(codec, (1,), slots=1, drain_delay_s=0.5) as built:
+        node = built.nodes[0]
+        node.targets[0].behaviour = Behaviour(slow_ms=1500)
+        first, second = await peer_client(built), await peer_client(built)
+        node.state = TargetState.DRAINING
+        built.publish()
+        headers = {"x_jaypost_target": TARGET, "x_jaypost_may_queue": "1"}
+        first.request("POST", "/work/0", b"x", x_request_id="a", **headers)
+        await until(lambda: len(node.targets[0].journal) == 1)
+        second.request("POST", "/work/0", b"x", x_request_id="b", **headers)
+        waited = await second.reply()
+        assert (waited.error, waited.run) == (ErrorKind.DRAINING, RunState.NOT_RUN)
+        assert (await first.reply()).status == 200
+        assert [entry.request_id for entry in node.targets[0].journal] == ["a"]
+        await first.close()
+        await second.close()
--- a/tests/test_ingress.py
+++ b/tests/test_ingress.py
@@ -336,6 +336,7 @@
         claims.status_by_key.clear()
         built.nodes[0].state = TargetState.DRAINING
         built.publish()
+        await asyncio.sleep(4 * built.nodes[0].settings.drain_delay_s)
         assert (await pay("d")).error == ErrorKind.DRAINING
         await until(lambda: not claims.status_by_key)
         await client.close()
