--- a/jaypost/calls.py
+++ b/jaypost/calls.py
@@ -59,6 +59,8 @@
         Time from the last dispatch to the end.
     total_s : float
         Time from the head of the request to the end.
+    hedged : bool
+        Whether a second attempt was started while the first one still ran.
     """
 
     request_id: str
@@ -73,6 +75,7 @@
     queue_s: float
     service_s: float
     total_s: float
+    hedged: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/jaypost/daemon.py
+++ b/jaypost/daemon.py
@@ -309,6 +309,8 @@
 
     def _on_call_ended(self, call: CallEnded) -> None:
         self.metrics.call_ended(call)
+        if call.hedged:
+            self.metrics.hedge_started(call.service)
         if call.kind is not None:
             log.info(
                 "call_failed",
--- a/jaypost/ingress.py
+++ b/jaypost/ingress.py
@@ -167,6 +167,7 @@
         "_final",
         "_head",
         "_hedge_timer",
+        "_hedged",
         "_ingress",
         "_inside_retry",
         "_last_kind",
@@ -209,6 +210,7 @@
         self._body_open = False
         self._streaming = False
         self._claimed = False
+        self._hedged = False
         self._attempts = 0
         self._tried: frozenset[str] = frozenset()
         self._live: list[Attempt] = []
@@ -446,6 +448,7 @@
         attempt.long_work = self._call_class is CallClass.LONG
         ingress.placement.observe(AttemptStarted(chosen.target.target.target_id, now))
         self._live.append(attempt)
+        self._hedged = self._hedged or hedge
         self._send(attempt, row, now, hedge)
 
     def _send(self, attempt: Attempt, row: Row, now: float, hedge: bool) -> None:
@@ -737,6 +740,7 @@
                 self._started_at - self._opened_at,
                 now - self._started_at,
                 now - self._opened_at,
+                self._hedged,
             )
         )
 
--- a/tests/test_ingress.py
+++ b/tests/test_ingress.py
@@ -350,6 +350,7 @@
         reply = await client.call("GET", "/work/0", x_request_id="a")
         assert content(reply) == {"request_id": "a", "target": "target-1-0"}
         await until(lambda: built.nodes[0].targets[0].running == 0)
+        assert [call.hedged for call in built.nodes[0].calls] == [True]
         await client.close()
 
 
