Queue only what can be answered within the latency target, urgent kinds first

Change: a request carries the time by which its answer is worth most; the queue is ordered by priority and that time, and refuses at once what cannot make it.

--- a/jaypost/admission.py
+++ b/jaypost/admission.py
@@ -69,6 +69,9 @@
         Monotonic time in seconds.
     priority : int
         Rank in the queue; 0 goes first.
+    answer_by : float
+        Monotonic time in seconds up to which an answer is worth most; a request that cannot have
+        it by then does not wait.
     """
 
     ticket: str
@@ -80,11 +83,17 @@
     may_queue: bool
     now: float
     priority: int = 0
+    answer_by: float = math.inf
+
+    @property
+    def due(self) -> float:
+        """Time by which the request must be answered to be worth waiting for."""
+        return min(self.deadline, self.answer_by)
 
     @property
     def rank(self) -> tuple[int, float]:
         """Order in the queue of a tenant."""
-        return (self.priority, self.deadline)
+        return (self.priority, self.due)
 
 
 @dataclass(frozen=True, slots=True)
@@ -407,7 +416,7 @@
         late = []
         for item in self.all_waiting():
             margin_s = self.durations_by_class[item.message.call_class].likely_s
-            if item.message.deadline <= now + margin_s:
+            if item.message.due <= now + margin_s:
                 self.remove(item)
                 late.append(item)
         return late
@@ -454,6 +463,13 @@
         return min(heads)[2] if heads else None
 
 
+def _expiry_kind(message: Admit, now: float) -> ErrorKind:
+    """Return why a request leaves the queue: its time is over, or too little of it is left."""
+    if message.deadline <= now:
+        return ErrorKind.DEADLINE_EXCEEDED
+    return ErrorKind.DEADLINE_TOO_SHORT
+
+
 def _share(row: Row, tenant: str) -> int:
     for item in row.tenant_shares:
         if item.tenant == tenant:
@@ -559,7 +575,7 @@
     def _wait(self, queue: _TargetQueue, message: Admit) -> tuple[Decision, ...]:
         wait_s = queue.estimated_wait_s(message)
         needed_s = wait_s + queue.durations_by_class[message.call_class].safe_s
-        if message.now + needed_s > message.deadline:
+        if message.now + needed_s > message.due:
             return (Refused(message.ticket, ErrorKind.DEADLINE_TOO_SHORT, queue.load),)
         decisions: list[Decision] = self._refuse_expired(queue, message.now)
         if queue.queued >= message.row.queue_limit:
@@ -582,7 +598,8 @@
 
     def _refuse_expired(self, queue: _TargetQueue, now: float) -> list[Decision]:
         return [
-            self._refuse(queue, item, ErrorKind.DEADLINE_EXCEEDED) for item in queue.expired(now)
+            self._refuse(queue, item, _expiry_kind(item.message, now))
+            for item in queue.expired(now)
         ]
 
     def _refuse(self, queue: _TargetQueue, item: _Waiting, kind: ErrorKind) -> Refused:
--- a/jaypost/egress.py
+++ b/jaypost/egress.py
@@ -27,6 +27,7 @@
     Tick,
 )
 from jaypost.calls import (
+    ANSWER_BY_MS,
     ARRIVED,
     CALLER,
     CLASS,
@@ -68,6 +69,8 @@
 # The timer at the end of the drain delay may be late on a busy host.
 DRAIN_TIMER_SLACK_S = 0.05
 TICK_S = 0.02
+# Stands for a latency target that is not given; longer than any deadline.
+UNBOUNDED_MS = 1_000_000_000
 
 _FORWARDED_CONTROL = (HOST, REQUEST_ID, TENANT, RETRY, IDEMPOTENCY_KEY, CALLER, TARGET)
 
@@ -192,7 +195,8 @@
                 self._deadline,
                 control.get(MAY_QUEUE) == b"1",
                 now,
-                _priority(control.get(PRIORITY)),
+                _whole_number(control.get(PRIORITY), 0),
+                self._opened_at + _whole_number(control.get(ANSWER_BY_MS), UNBOUNDED_MS) / 1000,
             )
         )
 
@@ -486,8 +490,8 @@
             long_work.abandoned(self._ticket, service, path)
 
 
-def _priority(value: bytes | None) -> int:
-    return int(value) if value is not None and value.isdigit() else 0
+def _whole_number(value: bytes | None, default: int) -> int:
+    return int(value) if value is not None and value.isdigit() else default
 
 
 @dataclass(frozen=True, slots=True)
--- a/jaypost/ingress.py
+++ b/jaypost/ingress.py
@@ -16,6 +16,7 @@
 
 from jaypost.admission import CallClass
 from jaypost.calls import (
+    ANSWER_BY_MS,
     ARRIVED,
     CALLER,
     CLASS,
@@ -177,6 +178,7 @@
     """One request of a caller, from its head to the end of its response."""
 
     __slots__ = (
+        "_answer_by",
         "_arrivals",
         "_attempts",
         "_body",
@@ -225,6 +227,7 @@
         self._opened_at = ingress.clock()
         self._started_at = self._opened_at
         self._deadline = 0.0
+        self._answer_by = 0.0
         self._request_id = b""
         self._service = ""
         self._destination = ""
@@ -320,6 +323,10 @@
                 return ErrorKind.BAD_DEADLINE
             timeout_ms = min(timeout_ms, int(remaining))
         self._deadline = self._opened_at + timeout_ms / 1000
+        # A caller that comes back has spent a part of its time; its latency counts from the start.
+        spent_ms = self._row.timeout_ms - timeout_ms
+        answer_in_ms = max(0, self._row.target_latency_ms - spent_ms)
+        self._answer_by = self._opened_at + answer_in_ms / 1000
         key = self._head.control.get(IDEMPOTENCY_KEY)
         if key is not None and not KEY_PATTERN.fullmatch(key):
             return ErrorKind.BAD_REQUEST
@@ -517,6 +524,8 @@
             CALLER: self._ingress.settings.service.encode(),
             PRIORITY: b"%d" % self._row.priority,
         }
+        if self._row.target_latency_ms:
+            control[ANSWER_BY_MS] = b"%d" % max(0, int((self._answer_by - now) * 1000))
         # A first execution may already have caused calls below, so those below do not retry.
         if hedge or self._inside_retry or self._maybe_run:
             control[RETRY] = b"1"
--- /dev/null
+++ b/tests/test_load_patterns.py
@@ -0,0 +1,143 @@
+"""Load patterns of the heaviest days, played against the admission of one target."""
+
+from __future__ import annotations
+
+import heapq
+import itertools
+import random
+from collections import Counter
+from dataclasses import dataclass
+
+import pytest
+
+from jaypost import admission as adm
+from jaypost.records import Row, Target, TargetState
+
+SLOTS = 10
+WORK_S = 0.1
+LATENCY_TARGET_S = 0.4
+DEADLINE_S = 1.0
+CREST_S = 6.0
+WARM_UP_S = 2.0
+# Requests per second that the slots can execute.
+CAPACITY = SLOTS / WORK_S
+ROW = Row("portal", queue_limit=64)
+
+
+@dataclass(frozen=True)
+class Kind:
+    """A kind of request: its share of the load and its rank."""
+
+    name: str
+    share: float
+    priority: int
+
+
+@dataclass(frozen=True)
+class Outcome:
+    """What became of the requests of one kind during the crest."""
+
+    asked: int
+    on_time: int
+    late: int
+    refused_s: list[float]
+
+    @property
+    def on_time_share(self) -> float:
+        return self.on_time / self.asked
+
+
+def play(kinds: list[Kind], load: float, seed: int) -> dict[str, Outcome]:
+    """Offer `load` times the capacity for some seconds and return the outcome by kind."""
+    rng = random.Random(seed)
+    queue = adm.Admission()
+    target = Target("t", "portal", 1, SLOTS, TargetState.READY)
+    queue.handle(adm.SetTargets((target,), 0.0))
+    agenda: list[tuple[float, int, object]] = []
+    order = itertools.count()
+    arrived: dict[str, tuple[float, Kind]] = {}
+    counts = {kind.name: Counter[str]() for kind in kinds}
+    refused_s: dict[str, list[float]] = {kind.name: [] for kind in kinds}
+
+    def decide(decisions: tuple[adm.Decision, ...], now: float) -> None:
+        for decision in decisions:
+            began, kind = arrived[decision.ticket]
+            if isinstance(decision, adm.Admitted):
+                work_s = rng.expovariate(2 / WORK_S) + WORK_S / 2
+                heapq.heappush(agenda, (now + work_s, next(order), (decision.ticket, now)))
+            elif isinstance(decision, adm.Refused) and began > WARM_UP_S:
+                refused_s[kind.name].append(now - began)
+
+    now, number = 0.0, 0
+    while now < WARM_UP_S + CREST_S:
+        rate = CAPACITY * (load if now > WARM_UP_S else 0.7)
+        heapq.heappush(agenda, (now, next(order), number))
+        now += rng.expovariate(rate)
+        number += 1
+    ticks = int((WARM_UP_S + CREST_S) / 0.02)
+    for tick in range(ticks):
+        heapq.heappush(agenda, (tick * 0.02, next(order), None))
+    while agenda:
+        now, _, event = heapq.heappop(agenda)
+        if event is None:
+            decide(queue.handle(adm.Tick(now)), now)
+        elif isinstance(event, tuple):
+            ticket, started = event
+            began, kind = arrived[ticket]
+            if began > WARM_UP_S:
+                ended = "on_time" if now - began <= LATENCY_TARGET_S else "late"
+                counts[kind.name][ended] += 1
+            decide(queue.handle(adm.Release(ticket, now - started, now)), now)
+        else:
+            kind = rng.choices(kinds, [item.share for item in kinds])[0]
+            ticket = str(event)
+            arrived[ticket] = (now, kind)
+            if now > WARM_UP_S:
+                counts[kind.name]["asked"] += 1
+            request = adm.Admit(
+                ticket,
+                "t",
+                ROW,
+                "default",
+                adm.CallClass.SHORT,
+                now + DEADLINE_S,
+                True,
+                now,
+                kind.priority,
+                now + LATENCY_TARGET_S,
+            )
+            decide(queue.handle(request), now)
+    return {
+        name: Outcome(count["asked"], count["on_time"], count["late"], refused_s[name])
+        for name, count in counts.items()
+    }
+
+
+VIEW = Kind("view", 0.75, 2)
+ORDER = Kind("order", 0.25, 1)
+
+
+@pytest.mark.parametrize("load", [1.2, 1.5, 2.0])
+@pytest.mark.parametrize("seed", [1, 2, 3])
+def test_overload_that_lasts_seconds_is_served_on_time_up_to_the_capacity(load, seed):
+    """Guards against a queue so long that every answer is late, in a crest of seconds."""
+    outcome = play([VIEW], load, seed)["view"]
+    assert outcome.on_time_share >= 0.9 * 0.9 / load
+    assert outcome.late <= 0.05 * outcome.asked
+
+
+@pytest.mark.parametrize("seed", [1, 2, 3])
+def test_refusals_in_a_crest_come_at_once(seed):
+    """Guards against requests that wait for most of their time and are refused then."""
+    refused_s = sorted(play([VIEW], 1.8, seed)["view"].refused_s)
+    assert refused_s
+    assert refused_s[len(refused_s) // 2] <= LATENCY_TARGET_S / 8
+
+
+@pytest.mark.parametrize("load", [1.3, 1.8])
+@pytest.mark.parametrize("seed", [1, 2, 3])
+def test_urgent_requests_come_first_in_a_crest(load, seed):
+    """Guards against a less urgent kind that is served better than a more urgent one."""
+    outcomes = play([VIEW, ORDER], load, seed)
+    assert outcomes["order"].on_time_share >= outcomes["view"].on_time_share
+    assert outcomes["order"].on_time_share >= 0.9
