--- a/jaypost/errors.py
+++ b/jaypost/errors.py
@@ -120,7 +120,9 @@
         HTTPStatus.MISDIRECTED_REQUEST, "The host does not have this target.", retryable=True
     ),
     ErrorKind.CONNECT_FAILED: _not_run(
-        HTTPStatus.BAD_GATEWAY, "No connection to the target could be opened.", retryable=True
+        HTTPStatus.SERVICE_UNAVAILABLE,
+        "No connection to the target could be opened.",
+        retryable=True,
     ),
     ErrorKind.OUTCOME_UNKNOWN: Answer(
         HTTPStatus.GATEWAY_TIMEOUT,
--- a/jaypost/settings.py
+++ b/jaypost/settings.py
@@ -74,7 +74,6 @@
     drain_bound_ms: int
     grace_s: float
     retry_ratio: float
-    lease_min_ms: int
     log_level: str
     raise_on_violation: bool
 
@@ -247,7 +246,6 @@
         _number(float, 0, 1),
         "repeated calls that the targets of a service accept, as a fraction of its calls",
     ),
-    "lease_min_ms": Setting("1000", _number(int, 1, 600_000), "shortest lease of the store"),
     "log_level": Setting(
         "info", _choice("debug", "info", "warning", "error"), "lowest level logged"
     ),
