--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -222,7 +222,9 @@
         targets = (Target(f"{node_id}-shop", "shop", 9000, 4, TargetState.READY),)
         changes.setdefault("number", len(self.nodes))
         stamp = changes.pop("stamp", record.stamp)
-        node = Node(self, replace(record, stamp=stamp, targets=targets), **changes)
+        control_address = changes.pop("control_address", record.control_address)
+        record = replace(record, stamp=stamp, control_address=control_address, targets=targets)
+        node = Node(self, record, **changes)
         await node.start()
         self.nodes.append(node)
         return node
--- a/tests/test_gossip.py
+++ b/tests/test_gossip.py
@@ -11,9 +11,9 @@
 from jaypost.joining import Founded, Joined, JoinServer
 from jaypost.messages import Push
 from jaypost.peers import Busy, Replied
-from jaypost.records import Accusation, NodeState, Stamp
+from jaypost.records import Accusation, NodeState, Stamp, TargetState
 from jaypost.view import MembershipView
-from tests.fleet import Fleet, Node, eventually, make_record
+from tests.fleet import FIRST_STAMP, Fleet, Node, eventually, make_record
 
 ONE_DOMAIN = (("d1", "r1"),)
 TWO_DOMAINS = (("d1", "r1"), ("d2", "r1"))
@@ -224,3 +224,45 @@
     view = MembershipView(make_record("own", state=NodeState.LEFT), 0.0)
     view.accuse(Accusation("own", Stamp(9, 9)), 0.0)
     assert view.own.stamp == Stamp(1, 0)
+
+
+async def test_restarted_node_joins_by_its_peers_while_the_store_is_away(fleet: Fleet) -> None:
+    """Guards against a restarted node that serves nothing until the store is back."""
+    await fleet.grow(4)
+    await eventually(lambda: converged(fleet) and all(len(n.view) == 4 for n in fleet.nodes))
+    old = fleet.nodes[1]
+    address = old.address
+    await fleet.stop(old)
+    fleet.store.available = False
+    node = await fleet.add(
+        old.node_id,
+        stamp=Stamp(FIRST_STAMP.incarnation + 1, 1),
+        listen_control=address,
+        control_address=address,
+    )
+    outcome = await asyncio.wait_for(node.join(), 20)
+    assert isinstance(outcome, Joined)
+    assert len(node.view) == 4
+
+
+async def test_joining_node_learns_its_own_previous_record(fleet: Fleet) -> None:
+    """Guards against a restarted node that forgets which targets had announced to leave (P7)."""
+    await fleet.grow(3)
+    await eventually(lambda: converged(fleet) and all(len(n.view) == 3 for n in fleet.nodes))
+    old = fleet.nodes[2]
+    leaving = replace(old.view.own.targets[0], state=TargetState.DRAINING, incarnation=5)
+    old.gossip.publish(targets=(leaving,))
+    assert await old.gossip.replicate_record()
+    await eventually(lambda: converged(fleet))
+    await fleet.stop(old)
+    node = await fleet.add(old.node_id, stamp=Stamp(FIRST_STAMP.incarnation + 1, 1))
+    previous = []
+    node.gossip.on_previous_record = previous.append
+    await node.join()
+    assert previous[0].targets == (leaving,)
+
+
+async def test_record_is_not_replicated_without_peers(fleet: Fleet) -> None:
+    """Guards against a departure that is acknowledged while no other process knows it."""
+    node = await fleet.add("alone")
+    assert not await node.gossip.replicate_record()
--- a/tests/test_readers.py
+++ b/tests/test_readers.py
@@ -11,8 +11,8 @@
 from test_config import LOADED, TABLES
 
 from jaypost import layout, table
-from jaypost.config import ConfigHolder, OfferTable
-from jaypost.readers import NothingNew, ReadFailed, ReadHead, TableReader
+from jaypost.config import ConfigHolder, OfferDeltas, OfferTable
+from jaypost.readers import NothingNew, ReadFailed, ReadHead, TableReader, TableSource
 from jaypost.records import Address, Head, Row, RowChange
 from jaypost.store import Effect, Found, Missing, StoreFailed, Unchanged
 from jaypost.store_client import StoreClient
@@ -298,3 +298,45 @@
     node.holder.offer(OfferTable(TABLES[2]))
     assert await node.reader.read_once() == ReadHead(1)
     assert node.holder.in_force_version == 2
+
+
+def whole_version(value):
+    """Decode a source that only tells whole versions, whose numbers rise in uneven steps."""
+    if not value.isdigit():
+        return table.Undecodable("not a number")
+    number = int(value)
+    return table.make_table(number, {"a": Row("a", queue_limit=number), "b": Row("b")})
+
+
+async def test_whole_versions_become_deltas_between_them():
+    """Guards against whole tables for every node, and versions that must follow one another."""
+    server = StoreServer(Address("127.0.0.1", 0))
+    await server.start()
+    client = StoreClient(server.address, 5)
+    await client.start()
+    holder = ConfigHolder(SETTINGS, "n1")
+
+    async def replicate():
+        return True
+
+    reader = TableReader(
+        client, holder, replicate, lambda: True, SETTINGS, source=TableSource("doc", whole_version)
+    )
+    for version in (3, 7, 12):
+        await client.put("doc", str(version).encode(), None)
+        assert await reader.read_once() == ReadHead(version)
+        assert holder.in_force_version == version
+    await client.put("doc", b"damaged", None)
+    assert isinstance(await reader.read_once(), ReadFailed)
+    await client.put("doc", b"5", None)
+    await reader.read_once()
+    assert holder.in_force_version == 12
+    first, second = holder.deltas_since(3)
+    assert [first.base_version, first.version, second.version] == [3, 7, 12]
+    assert [change.service for change in second.rows] == ["a"]
+    assert holder.deltas_since(5) is None
+    behind = ConfigHolder(SETTINGS, "n2")
+    behind.offer(OfferDeltas(holder.deltas_since(0)))
+    assert behind.in_force_version == 12
+    await client.close()
+    await server.close()
