--- a/tests/test_platform_documents.py
+++ b/tests/test_platform_documents.py
@@ -18,6 +18,8 @@
 ROOT = Path(__file__).resolve().parent.parent
 
 REPEAT_RATIO = 0.2
+# Time after a disturbance in which the users excuse a host, in seconds.
+OUT_OF_TOUCH_S = 4.0
 ROUTE = {
     "name": "r1",
     "host": "Shop.example",
@@ -145,5 +147,8 @@
     assert template.keys() <= known
     required = {n for n, item in settings.SETTING_BY_NAME.items() if item.default is None}
     assert {f"JAYPOST_{name.upper()}" for name in required} <= template.keys()
+    # A silent watch must end within the time in which a host counts as out of touch.
+    watch_s = float(template["JAYPOST_WATCH_WAIT_S"]) + float(template["JAYPOST_STORE_TIMEOUT_S"])
+    assert watch_s <= OUT_OF_TOUCH_S
     names = tomllib.loads((ROOT / "deploy" / "wire.toml").read_text())["fields"].values()
     assert len(set(names)) == len(names)
