--- a/jaypost/daemon.py
+++ b/jaypost/daemon.py
@@ -65,7 +65,9 @@
 EXIT_DRAIN_TIMEOUT = 1
 PERIODIC_WORK_S = 10.0
 # The end of a process takes this much of the time between SIGTERM and SIGKILL.
-GRACE_MARGIN_S = 0.4
+GRACE_MARGIN_S = 0.8
+# Time in seconds to tell the peers, and then to close; a peer that is cut off answers neither.
+FAREWELL_TIMEOUT_S = 0.3
 
 
 @dataclass(frozen=True, slots=True)
@@ -219,7 +221,9 @@
             loop.add_signal_handler(number, self._leaving.set)
         await self._leaving.wait()
         done = await self._leave()
-        await self.close()
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(FAREWELL_TIMEOUT_S):
+                await self.close()
         self.events.record(EventName.NODE_STOPPED, node=self.settings.node_id, drained=done)
         logs.flush_left_out()
         return 0 if done else EXIT_DRAIN_TIMEOUT
@@ -231,7 +235,9 @@
         self.gossip.publish(state=NodeState.LEAVING)
         timeout_s = self._drain_timeout_s()
         drained = await asyncio.gather(self.ingress.drain(timeout_s), self.egress.drain(timeout_s))
-        await self.gossip.leave()
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(FAREWELL_TIMEOUT_S):
+                await self.gossip.leave()
         return all(drained)
 
     def _drain_timeout_s(self) -> float:
--- /dev/null
+++ b/tests/test_daemon.py
@@ -0,0 +1,47 @@
+"""Guards against a node that outlives its grace time, and is killed with calls in flight (P8)."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+
+import pytest
+from admin_fakes import load_settings
+
+from jaypost import daemon
+from jaypost.events import EventLog
+
+
+class SilentGossip:
+    """Gossip whose peers are cut off."""
+
+    def publish(self, state=None, targets=None):
+        pass
+
+    async def leave(self):
+        await asyncio.sleep(60)
+
+
+@pytest.mark.parametrize(
+    ("grace_s", "drain_delay_s", "expected_s"),
+    [(6.0, 3.0, 2.2), (66.0, 3.0, 60.0), (3.0, 3.0, 0.0)],
+)
+async def test_calls_in_flight_end_before_the_grace_time(grace_s, drain_delay_s, expected_s):
+    settings = load_settings(grace_s=grace_s, drain_delay_s=drain_delay_s)
+    node = daemon.Node(settings, EventLog())
+    assert node._drain_timeout_s() == pytest.approx(expected_s)
+
+
+async def test_a_farewell_to_peers_that_are_cut_off_ends_in_time():
+    node = daemon.Node(load_settings(), EventLog())
+    node.gossip = SilentGossip()
+
+    async def drain(timeout_s):
+        return True
+
+    node.ingress.drain = node.egress.drain = drain
+    started = time.monotonic()
+    async with asyncio.timeout(30):
+        assert await node._leave()
+    # Generous for a busy machine, and far below the 60 s of the silent peers.
+    assert time.monotonic() - started < 20
