--- a/jaypost/settings.py
+++ b/jaypost/settings.py
@@ -270,7 +270,8 @@
 def read_file(path: str) -> Mapping[str, str] | UnreadableFile:
     """Read a settings file: lines ``JAYPOST_NAME=value``, empty lines and ``#`` comments.
 
-    The result is used like environment variables. Variables that are no settings are ignored.
+    The result is used like environment variables. Variables that are no settings are ignored, and
+    an empty value means the default.
     """
     try:
         with open(path, encoding="utf-8") as file:
@@ -285,7 +286,8 @@
         variable, separator, value = text.partition("=")
         if not separator:
             return UnreadableFile(path, f"line {number} is not NAME=value")
-        value_by_variable[variable.strip()] = value.strip()
+        if value.strip():
+            value_by_variable[variable.strip()] = value.strip()
     return value_by_variable
 
 
--- a/tests/test_platform_documents.py
+++ b/tests/test_platform_documents.py
@@ -73,6 +73,15 @@
     assert routes.find("x", "/") is None
 
 
+@pytest.mark.parametrize(("given", "expected"), [(900, 900), (900.7, 900), (0.2, 1)])
+def test_times_may_have_fractions(given: float, expected: int) -> None:
+    """Guards against a version that is refused because a time is no whole number."""
+    decoded = DocumentReader(REPEAT_RATIO).decode(document(routes=[ROUTE | {"timeout_ms": given}]))
+    assert isinstance(decoded, Table)
+    assert decoded.rows_by_service["route.r1"].timeout_ms == expected
+    assert table.validate(decoded.rows_by_service) == ()
+
+
 @pytest.mark.parametrize("kind", ["download", "safe", "unsafe", "keyed", ""])
 def test_only_known_kinds_are_repeated(kind: str) -> None:
     """Guards against a second execution of a kind that this version does not know (P6)."""
--- a/tests/test_reloading.py
+++ b/tests/test_reloading.py
@@ -43,6 +43,7 @@
         ({"service": "orders"}, []),
         ({"service": "stock"}, ["stock"]),
         ({"service": "stock", "unknown": "1"}, ["stock"]),
+        ({"service": "stock", "retry_ratio": "", "grace_s": ""}, ["stock"]),
         ({"service": "no name"}, []),
         ({"service": "stock", "node_id": ""}, []),
     ],
