Let a restarted node join after a failed first attempt, and mend the known red tests

A peer that compares records with it pushes what it lacks; from then on it knew its contacts and took no introduction from them. When its one attempt with the first introductions failed, it never joined while the store was away. Ruled out: contact with unreachable nodes, which is tried every other interval. The two known red tests: 24 nodes share one event loop with 240 synchronisations a second, about half a core alone; beside load calls pass their timeout, and each timeout adds probes and connections.

Change: every contact is an introduction until the node has joined, and wakes it from its back-off.

Measured: the new test fails without the change.

--- a/jaypost/gossip.py
+++ b/jaypost/gossip.py
@@ -182,6 +182,7 @@
         self._notified_changes = view.changes
         self._notify_handle: asyncio.TimerHandle | None = None
         self._introduced_by_address: dict[Address, Seed] = {}
+        self._introduced = asyncio.Event()
         self.on_view_changed: Callable[[], None] | None = None
         self.on_previous_record: Callable[[NodeRecord], None] | None = None
         self.status_problems: Callable[[], tuple[str, ...]] = tuple
@@ -702,6 +703,7 @@
             self._join_at,
             self._ask_version,
             self._take_introductions,
+            self._wait_for_introduction,
         )
         outcome = await joiner.run()
         self._joined = True
@@ -724,18 +726,27 @@
         return outcome
 
     def _introduce(self, request: Sync) -> None:
-        """Take note of a node that knows this one, while this one does not know it.
+        """Take note of a node that knows this one.
 
-        A node that was restarted while the store is away finds the others this way.
+        A node that was restarted while the store is away finds the others this way. Until it has
+        joined it keeps every contact: pushed records make the sender known without a join.
         """
         address = request.control_address
-        if address is None or self._view.get(request.sender) is not None:
+        if address is None:
             return
         seed = Seed(request.failure_domain, address)
-        if self._joined:
-            self._spawn(self._join_at(seed))
-        else:
+        if not self._joined:
             self._introduced_by_address[address] = seed
+            self._introduced.set()
+        elif self._view.get(request.sender) is None:
+            self._spawn(self._join_at(seed))
+
+    async def _wait_for_introduction(self, timeout_s: float) -> None:
+        """Return at the next contact of another node, or after `timeout_s`."""
+        self._introduced.clear()
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(timeout_s):
+                await self._introduced.wait()
 
     def _take_introductions(self) -> tuple[Seed, ...]:
         seeds = tuple(self._introduced_by_address.values())
--- a/jaypost/joining.py
+++ b/jaypost/joining.py
@@ -156,6 +156,8 @@
         Synchronises with a node and returns the version that it holds, or None.
     introductions : callable
         Returns the nodes that have contacted this one since the last call.
+    wait : callable
+        Waits between two rounds, at most for the time given; ends early at an introduction.
     """
 
     def __init__(
@@ -167,8 +169,10 @@
         join_at: Callable[[Seed], Awaitable[CallOutcome]],
         ask_version: Callable[[NodeRecord], Awaitable[int | None]],
         introductions: Callable[[], Sequence[Seed]] = tuple,
+        wait: Callable[[float], Awaitable[None]] = asyncio.sleep,
     ) -> None:
         self._introductions = introductions
+        self._wait = wait
         self._settings = settings
         self._view = view
         self._rng = rng
@@ -196,7 +200,10 @@
                 if await self._may_found(seeds, failed_rounds):
                     return Founded()
             delay_s = self._next_delay(delay_s)
-            await asyncio.sleep(max(delay_s, attempt.busy_s or 0.0))
+            if attempt.busy_s is None:
+                await self._wait(delay_s)
+            else:
+                await asyncio.sleep(max(delay_s, attempt.busy_s))
 
     def _next_delay(self, delay_s: float) -> float:
         shortest_s = self._settings.store_backoff_min_s
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -29,6 +29,10 @@
 
 LOOPBACK = Address("127.0.0.1", 0)
 FIRST_STAMP = Stamp(1, 0)
+# All nodes share one event loop: more synchronisations than this delay calls past their timeout,
+# and each timeout causes probes and new connections.
+SYNCS_PER_S = 50.0
+SHORTEST_SYNC_INTERVAL_S = 0.1
 
 
 def delta(version: int) -> Delta:
@@ -126,8 +130,8 @@
         "region": region,
         "store": LOOPBACK,
         "listen_control": LOOPBACK,
-        "sync_interval_s": 0.1,
-        "cross_region_interval_s": 0.2,
+        "sync_interval_s": SHORTEST_SYNC_INTERVAL_S,
+        "cross_region_interval_s": 2 * SHORTEST_SYNC_INTERVAL_S,
         "suspicion_s": 0.6,
         "beacon_timeout_s": 2.0,
         "join_jitter_s": 0.05,
@@ -233,8 +237,14 @@
         self, count: int, domains: tuple[tuple[str, str], ...] = (("d1", "r1"),)
     ) -> None:
         """Start and join nodes, spread over (failure domain, region) pairs."""
+        interval_s = max(SHORTEST_SYNC_INTERVAL_S, count / SYNCS_PER_S)
         added = [
-            await self.add(f"n{number:02}", *domains[number % len(domains)])
+            await self.add(
+                f"n{number:02}",
+                *domains[number % len(domains)],
+                sync_interval_s=interval_s,
+                cross_region_interval_s=2 * interval_s,
+            )
             for number in range(count)
         ]
         await added[0].join()
--- a/tests/test_gossip.py
+++ b/tests/test_gossip.py
@@ -10,7 +10,7 @@
 
 from jaypost.joining import Founded, Joined, JoinServer
 from jaypost.messages import Push
-from jaypost.peers import Busy, Replied
+from jaypost.peers import Busy, Failed, FailureReason, Replied
 from jaypost.records import Accusation, NodeState, Stamp, TargetState
 from jaypost.view import MembershipView
 from tests.fleet import FIRST_STAMP, Fleet, Node, eventually, make_record
@@ -245,6 +245,35 @@
     assert len(node.view) == 4
 
 
+async def test_node_joins_although_a_push_came_before_its_failed_first_attempt(
+    fleet: Fleet, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against a node that never joins: records pushed to it hid the later contacts."""
+    await fleet.grow(2)
+    await eventually(lambda: converged(fleet) and all(len(n.view) == 2 for n in fleet.nodes))
+    old = fleet.nodes[1]
+    await fleet.stop(old)
+    fleet.store.available = False
+    node = await fleet.add(
+        old.node_id,
+        stamp=Stamp(FIRST_STAMP.incarnation + 1, 1),
+        listen_control=old.address,
+        control_address=old.address,
+    )
+    join_at, attempts = node.gossip._join_at, []
+
+    async def fail_once(seed):
+        attempts.append(seed)
+        if len(attempts) == 1:
+            await node.gossip._call(node.view.own, Push("n00", records=(fleet.nodes[0].view.own,)))
+            return Failed(FailureReason.TIMED_OUT)
+        return await join_at(seed)
+
+    monkeypatch.setattr(node.gossip, "_join_at", fail_once)
+    assert isinstance(await asyncio.wait_for(node.join(), 20), Joined)
+    assert len(attempts) == 2
+
+
 async def test_joining_node_learns_its_own_previous_record(fleet: Fleet) -> None:
     """Guards against a restarted node that forgets which targets had announced to leave (P7)."""
     await fleet.grow(3)
