Join within a fraction of a second after all processes are killed

Ruled out: announcements of the targets, which come again within 0.1 to 0.5 s.

Change: a node that joins contacts the nodes that it declined before, which wakes them; the pause is short while a node answers that it is joining itself; nodes that made contact are asked before the store. Two nodes that found at once find each other by the same contact.

--- a/jaypost/gossip.py
+++ b/jaypost/gossip.py
@@ -183,6 +183,7 @@
         self._notify_handle: asyncio.TimerHandle | None = None
         self._introduced_by_address: dict[Address, Seed] = {}
         self._introduced = asyncio.Event()
+        self._declined_by_id: dict[str, NodeRecord] = {}
         self.on_view_changed: Callable[[], None] | None = None
         self.on_previous_record: Callable[[NodeRecord], None] | None = None
         self.status_problems: Callable[[], tuple[str, ...]] = tuple
@@ -708,11 +709,23 @@
         outcome = await joiner.run()
         self._joined = True
         self._announce(self._view.own)
+        self._invite_declined()
         log.info(
             "joined", node=self._own_id, records=len(self._view), outcome=type(outcome).__name__
         )
         return outcome
 
+    def _invite_declined(self) -> None:
+        """Contact the nodes whose joins came too early, which then join without a further delay.
+
+        Nodes that were killed together find the first of them that has joined this way. The number
+        is that of the join replies of a second; an invited node invites those that it declined.
+        """
+        declined, self._declined_by_id = self._declined_by_id, {}
+        for record in list(declined.values())[: max(1, int(self._settings.join_rate))]:
+            if not self._view.is_reachable(record.node_id):
+                self._spawn(self._call(record, self._sync_request(record)))
+
     async def _join_at(self, seed: Seed) -> CallOutcome:
         request = Join(self._own_id, self._view.own)
         domain = self._view.own.failure_domain
@@ -861,6 +874,7 @@
     @_handle.register
     async def _(self, request: Join) -> JoinReply | Busy | Declined:
         if not self._joined:
+            self._declined_by_id[request.sender] = request.record
             return Declined("this node has not joined yet")
         busy = self._join_server.admit(time.monotonic())
         if busy is not None:
--- a/jaypost/joining.py
+++ b/jaypost/joining.py
@@ -9,7 +9,7 @@
 
 from jaypost.messages import JoinReply, RecordPiece
 from jaypost.news import TokenBucket
-from jaypost.peers import Busy, CallOutcome, Replied, pack
+from jaypost.peers import Busy, CallOutcome, FailureReason, Replied, pack
 from jaypost.records import NodeRecord, Table
 from jaypost.seeds import Seed, SeedDirectory
 from jaypost.settings import Settings
@@ -26,6 +26,9 @@
 FOUNDER_PAUSE_S = (0.5, 1.0)
 FAILED_ROUNDS_BEFORE_FOUNDING = 2
 BACKOFF_FACTOR = 3.0
+# Bounds in seconds of the pause after a node answered that it is joining itself. Nodes that were
+# killed together are all in this state, and two that found at once find each other by invitation.
+JOINING_PAUSE_S = (0.05, 0.15)
 
 
 @dataclass(frozen=True, slots=True)
@@ -133,8 +136,22 @@
 
 @dataclass(frozen=True, slots=True)
 class _Attempt:
+    """Outcome of asking some nodes; `joining` tells whether one of them is joining itself."""
+
+    reply: JoinReply | None
+    busy_s: float | None
+    joining: bool
+
+
+@dataclass(frozen=True, slots=True)
+class _Round:
+    """Outcome of asking every node that is known at the time."""
+
     reply: JoinReply | None
     busy_s: float | None
+    joining: bool
+    seeds_tried: bool
+    store_answered: bool
 
 
 class Joiner:
@@ -190,29 +207,49 @@
         delay_s = self._settings.store_backoff_min_s
         failed_rounds = 0
         while True:
-            listed = await self._seeds.read() if self._seeds is not None else ()
-            seeds = self._ordered((*(listed or ()), *self._introductions()))
-            attempt = await self._try(seeds)
-            if attempt.reply is not None:
-                return await self._complete(attempt.reply)
-            if attempt.busy_s is None and listed is not None:
+            result = await self._round()
+            if result.reply is not None:
+                return await self._complete(result.reply)
+            if result.busy_s is None and result.store_answered:
                 failed_rounds += 1
-                if await self._may_found(seeds, failed_rounds):
+                if await self._may_found(result.seeds_tried, failed_rounds):
                     return Founded()
-            delay_s = self._next_delay(delay_s)
-            if attempt.busy_s is None:
-                await self._wait(delay_s)
+            if result.busy_s is not None:
+                delay_s = self._next_delay(delay_s)
+                await asyncio.sleep(max(delay_s, result.busy_s))
+            elif result.joining and result.store_answered:
+                await self._wait(self._rng.uniform(*JOINING_PAUSE_S))
             else:
-                await asyncio.sleep(max(delay_s, attempt.busy_s))
+                delay_s = self._next_delay(delay_s)
+                await self._wait(delay_s)
+
+    async def _round(self) -> _Round:
+        """Try the nodes that made contact, and then those that the store and the settings list."""
+        introduced = self._ordered(self._introductions())
+        attempt = await self._try(introduced)
+        if attempt.reply is not None:
+            return _Round(attempt.reply, None, False, True, False)
+        listed = await self._seeds.read() if self._seeds is not None else ()
+        configured = (Seed("", address) for address in self._settings.seeds)
+        seeds = self._ordered((*(listed or ()), *configured))
+        second = await self._try(seeds)
+        busy_s = [item.busy_s for item in (attempt, second) if item.busy_s is not None]
+        return _Round(
+            second.reply,
+            min(busy_s, default=None),
+            attempt.joining or second.joining,
+            bool(introduced or seeds),
+            listed is not None,
+        )
 
     def _next_delay(self, delay_s: float) -> float:
         shortest_s = self._settings.store_backoff_min_s
         drawn_s = self._rng.uniform(shortest_s, BACKOFF_FACTOR * delay_s)
         return min(self._settings.store_backoff_max_s, drawn_s)
 
-    async def _may_found(self, seeds: Sequence[Seed], failed_rounds: int) -> bool:
+    async def _may_found(self, seeds_tried: bool, failed_rounds: int) -> bool:
         """Tell whether the node is the first; nodes that start together find each other here."""
-        if seeds:
+        if seeds_tried:
             return failed_rounds >= FAILED_ROUNDS_BEFORE_FOUNDING
         if self._seeds is None:
             return True
@@ -221,10 +258,9 @@
         listed = await self._seeds.read()
         return listed is not None and not self._ordered(listed)
 
-    def _ordered(self, listed: Sequence[Seed]) -> list[Seed]:
+    def _ordered(self, nodes: Sequence[Seed]) -> list[Seed]:
         own = self._view.own
-        seeds = list(listed) + [Seed("", address) for address in self._settings.seeds]
-        seeds = [seed for seed in seeds if seed.address != own.control_address]
+        seeds = [seed for seed in nodes if seed.address != own.control_address]
         self._rng.shuffle(seeds)
         # A join carries all records; across regions it goes over a link that is billed by volume.
         return sorted(
@@ -237,13 +273,16 @@
 
     async def _try(self, seeds: Sequence[Seed]) -> _Attempt:
         busy_s: float | None = None
+        joining = False
         for seed in seeds[:PEERS_ASKED]:
             outcome = await self._join_at(seed)
             if isinstance(outcome, Replied):
-                return _Attempt(outcome.message, None)
+                return _Attempt(outcome.message, None, False)
             if isinstance(outcome, Busy):
                 busy_s = min(busy_s or outcome.retry_after_s, outcome.retry_after_s)
-        return _Attempt(None, busy_s)
+            else:
+                joining = joining or outcome.reason is FailureReason.REFUSED
+        return _Attempt(None, busy_s, joining)
 
     async def _complete(self, reply: JoinReply) -> Joined:
         versions = [reply.held_version]
--- a/tests/test_gossip.py
+++ b/tests/test_gossip.py
@@ -274,6 +274,37 @@
     assert len(attempts) == 2
 
 
+async def test_nodes_killed_together_join_as_soon_as_one_has(
+    fleet: Fleet, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against nodes that sit out their back-off after the first one is ready."""
+    long_delay = {"store_backoff_min_s": 30.0, "store_backoff_max_s": 60.0}
+    first = await fleet.add("first")
+    second = await fleet.add("second", **long_delay)
+    third = await fleet.add("third", **long_delay)
+    for node in (second, third):
+        await node.gossip._seeds.keep(first.address)
+    joins = [asyncio.create_task(node.join()) for node in (second, third)]
+    await eventually(lambda: len(first.gossip._declined_by_id) == 2)
+    fleet.store.available = False
+    first.gossip._joined = True
+    first.gossip._invite_declined()
+    assert [type(outcome) for outcome in await asyncio.wait_for(asyncio.gather(*joins), 20)] == [
+        Joined,
+        Joined,
+    ]
+
+
+async def test_nodes_that_found_at_the_same_time_find_each_other(fleet: Fleet) -> None:
+    """Guards against two fleets of nodes that were killed together and declined each other."""
+    nodes = [await fleet.add(name, store_backoff_min_s=20.0) for name in ("one", "two", "three")]
+    for node in nodes:
+        await node.gossip._seeds.keep(node.address)
+    outcomes = await asyncio.wait_for(asyncio.gather(*(node.join() for node in nodes)), 10)
+    assert Founded in {type(outcome) for outcome in outcomes}
+    await eventually(lambda: converged(fleet) and all(len(n.view) == 3 for n in fleet.nodes))
+
+
 async def test_joining_node_learns_its_own_previous_record(fleet: Fleet) -> None:
     """Guards against a restarted node that forgets which targets had announced to leave (P7)."""
     await fleet.grow(3)
