Find each other at once after a power loss beside a store that turns nodes away

Six of the others founded a fleet each and met 0.7 s later, when they became readers; the four joined at 37.6 to 40.0 s, after the store served them again, because nobody made contact with them: a node that has joined asks the seeds of the store, and those that had not joined declined and forgot it. One more waited for hosts without power, one after the other. Ruled out: the announcements of the targets, which came within 0.1 s of the start.

Change: a join says whether its sender has joined, and wakes a node that has not; a founder meets the seeds at once; seeds are asked with a head start of 0.2 s each. The loss and the return of the store are logged, once each.

--- a/jaypost/daemon.py
+++ b/jaypost/daemon.py
@@ -115,6 +115,7 @@
         rng = random.Random()
         self.events = events
         self.metrics = Metrics(node_settings.label_limit)
+        self._store_available: bool | None = None
         self.store = integration.make_store(
             node_settings.store, node_settings.store_timeout_s, self._on_store_call_ended
         )
@@ -386,6 +387,17 @@
         if call.status == HTTPStatus.CONFLICT:
             outcome = StoreOutcome.CONFLICT
         self.metrics.store_call_ended(call.operation, outcome, call.seconds)
+        self._note_store(call)
+
+    def _note_store(self, call: StoreCallEnded) -> None:
+        """Record when the store stops or begins again to serve this node."""
+        refused = call.status == HTTPStatus.TOO_MANY_REQUESTS
+        available = 0 < call.status < HTTPStatus.INTERNAL_SERVER_ERROR and not refused
+        if available == self._store_available:
+            return
+        self._store_available = available
+        name = EventName.STORE_AVAILABLE if available else EventName.STORE_UNAVAILABLE
+        self.events.record(name, operation=call.operation, status=call.status)
 
     def _on_call_ended(self, call: CallEnded) -> None:
         self.metrics.call_ended(call)
--- a/jaypost/gossip.py
+++ b/jaypost/gossip.py
@@ -18,7 +18,7 @@
 from jaypost import comparison
 from jaypost.beacons import BeaconBoard, DomainContacts
 from jaypost.config import OfferDeltas, OfferTable
-from jaypost.joining import Joiner, JoinOutcome, JoinServer
+from jaypost.joining import Founded, Joiner, JoinOutcome, JoinServer
 from jaypost.messages import (
     Beacon,
     CompareBuckets,
@@ -690,9 +690,8 @@
         """Join nodes of the store's list that the view lacks: groups that started apart."""
         assert self._seeds is not None
         known = {record.control_address for record in self._view.records()}
-        for seed in await self._seeds.read() or ():
-            if seed.address not in known:
-                await self._join_at(seed)
+        seeds = await self._seeds.read() or ()
+        await asyncio.gather(*(self._join_at(seed) for seed in seeds if seed.address not in known))
 
     async def join(self) -> JoinOutcome:
         """Get all records and the table from a peer; see `Joiner.run`."""
@@ -710,11 +709,23 @@
         self._joined = True
         self._announce(self._view.own)
         self._invite_declined()
+        if isinstance(outcome, Founded) and self._seeds is not None:
+            self._spawn(self._meet_seeds())  # others may have founded at the same time
         log.info(
             "joined", node=self._own_id, records=len(self._view), outcome=type(outcome).__name__
         )
         return outcome
 
+    def _note_declined(self, request: Join) -> None:
+        """Remember a node that is joining as well, or join at one that has joined already."""
+        record = request.record
+        if not request.has_joined:
+            self._declined_by_id[record.node_id] = record
+            return
+        seed = Seed(record.failure_domain, record.control_address, record.region)
+        self._introduced_by_address[seed.address] = seed
+        self._introduced.set()
+
     def _invite_declined(self) -> None:
         """Contact the nodes whose joins came too early, which then join without a further delay.
 
@@ -727,7 +738,7 @@
                 self._spawn(self._call(record, self._sync_request(record)))
 
     async def _join_at(self, seed: Seed) -> CallOutcome:
-        request = Join(self._own_id, self._view.own)
+        request = Join(self._own_id, self._view.own, self._joined)
         domain = self._view.own.failure_domain
         link = Link.DOMAIN if seed.failure_domain == domain else Link.UNKNOWN
         outcome = await self._channels.call(seed.address, request, JOIN_TIMEOUT_S, link)
@@ -874,7 +885,7 @@
     @_handle.register
     async def _(self, request: Join) -> JoinReply | Busy | Declined:
         if not self._joined:
-            self._declined_by_id[request.sender] = request.record
+            self._note_declined(request)
             return Declined("this node has not joined yet")
         busy = self._join_server.admit(time.monotonic())
         if busy is not None:
--- a/jaypost/joining.py
+++ b/jaypost/joining.py
@@ -4,12 +4,13 @@
 
 import asyncio
 import random
-from collections.abc import Awaitable, Callable, Sequence
+from collections.abc import Awaitable, Callable, Coroutine, Sequence
 from dataclasses import dataclass
+from typing import Any
 
 from jaypost.messages import JoinReply, RecordPiece
 from jaypost.news import TokenBucket
-from jaypost.peers import Busy, CallOutcome, FailureReason, Replied, pack
+from jaypost.peers import Busy, CallOutcome, Failed, FailureReason, Replied, pack
 from jaypost.records import NodeRecord, Table
 from jaypost.seeds import Seed, SeedDirectory
 from jaypost.settings import Settings
@@ -23,6 +24,8 @@
 RETRY_JITTER = 0.5
 # A restarted node asks this many peers for their version when the store is not available.
 PEERS_ASKED = 3
+# A node that has lost its power answers nothing; the next one is asked after this time in seconds.
+HEAD_START_S = 0.2
 FOUNDER_PAUSE_S = (0.5, 1.0)
 FAILED_ROUNDS_BEFORE_FOUNDING = 2
 BACKOFF_FACTOR = 3.0
@@ -183,7 +186,7 @@
         view: MembershipView,
         rng: random.Random,
         seeds: SeedDirectory | None,
-        join_at: Callable[[Seed], Awaitable[CallOutcome]],
+        join_at: Callable[[Seed], Coroutine[Any, Any, CallOutcome]],
         ask_version: Callable[[NodeRecord], Awaitable[int | None]],
         introductions: Callable[[], Sequence[Seed]] = tuple,
         wait: Callable[[float], Awaitable[None]] = asyncio.sleep,
@@ -272,17 +275,32 @@
         )
 
     async def _try(self, seeds: Sequence[Seed]) -> _Attempt:
-        busy_s: float | None = None
-        joining = False
-        for seed in seeds[:PEERS_ASKED]:
-            outcome = await self._join_at(seed)
-            if isinstance(outcome, Replied):
-                return _Attempt(outcome.message, None, False)
-            if isinstance(outcome, Busy):
-                busy_s = min(busy_s or outcome.retry_after_s, outcome.retry_after_s)
-            else:
-                joining = joining or outcome.reason is FailureReason.REFUSED
-        return _Attempt(None, busy_s, joining)
+        """Ask some nodes, each after a head start of the one before, and take the first reply."""
+        outcomes: list[CallOutcome] = []
+        pending: set[asyncio.Task[CallOutcome]] = set()
+        waiting = list(seeds[:PEERS_ASKED])
+        try:
+            while waiting or pending:
+                if waiting:
+                    pending.add(asyncio.create_task(self._join_at(waiting.pop(0))))
+                timeout_s = HEAD_START_S if waiting else None
+                done, pending = await asyncio.wait(
+                    pending, timeout=timeout_s, return_when=asyncio.FIRST_COMPLETED
+                )
+                for task in done:
+                    outcome = task.result()
+                    if isinstance(outcome, Replied):
+                        return _Attempt(outcome.message, None, False)
+                    outcomes.append(outcome)
+        finally:
+            for task in pending:
+                task.cancel()
+            await asyncio.gather(*pending, return_exceptions=True)
+        busy_s = [item.retry_after_s for item in outcomes if isinstance(item, Busy)]
+        joining = any(
+            isinstance(item, Failed) and item.reason is FailureReason.REFUSED for item in outcomes
+        )
+        return _Attempt(None, min(busy_s, default=None), joining)
 
     async def _complete(self, reply: JoinReply) -> Joined:
         versions = [reply.held_version]
--- a/jaypost/messages.py
+++ b/jaypost/messages.py
@@ -181,10 +181,19 @@
 
 @dataclass(frozen=True, slots=True)
 class Join:
-    """Ask for all records and the table."""
+    """Ask for all records and the table.
+
+    Parameters
+    ----------
+    sender, record
+        The sender and its own record.
+    has_joined : bool
+        Whether the sender has joined others before, so that the receiver may join at it.
+    """
 
     sender: str
     record: NodeRecord
+    has_joined: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/test_daemon.py
+++ b/tests/test_daemon.py
@@ -10,6 +10,7 @@
 
 from jaypost import daemon
 from jaypost.events import EventLog
+from jaypost.store import StoreCallEnded
 
 
 class SilentGossip:
@@ -45,3 +46,20 @@
         assert await node._leave()
     # Generous for a busy machine, and far below the 60 s of the silent peers.
     assert time.monotonic() - started < 20
+
+
+@pytest.mark.parametrize(
+    ("statuses", "expected"),
+    [
+        ((200, 404, 412), ["store_available"]),
+        ((200, 0, 0, 200), ["store_available", "store_unavailable", "store_available"]),
+        ((429, 503), ["store_unavailable"]),
+    ],
+)
+async def test_loss_and_return_of_the_store_are_logged_once(statuses, expected):
+    """Guards against an outage of the store that the log does not show, or shows at each call."""
+    events = EventLog()
+    node = daemon.Node(load_settings(), events)
+    for status in statuses:
+        node._on_store_call_ended(StoreCallEnded("get", status, 0.01))
+    assert [event.name for event in events.newest(10)] == expected
--- a/tests/test_gossip.py
+++ b/tests/test_gossip.py
@@ -11,9 +11,9 @@
 from jaypost.joining import Founded, Joined, JoinServer
 from jaypost.messages import Push
 from jaypost.peers import Busy, Failed, FailureReason, Replied
-from jaypost.records import Accusation, NodeState, Stamp, TargetState
+from jaypost.records import Accusation, Address, NodeState, Stamp, TargetState
 from jaypost.view import MembershipView
-from tests.fleet import FIRST_STAMP, Fleet, Node, eventually, make_record
+from tests.fleet import FIRST_STAMP, FakeStore, Fleet, Node, eventually, make_record
 
 ONE_DOMAIN = (("d1", "r1"),)
 TWO_DOMAINS = (("d1", "r1"), ("d2", "r1"))
@@ -305,6 +305,37 @@
     await eventually(lambda: converged(fleet) and all(len(n.view) == 3 for n in fleet.nodes))
 
 
+async def test_node_that_the_store_turns_away_joins_by_a_seed_of_its_own(fleet: Fleet) -> None:
+    """Guards against a node that serves nothing after a power loss, as it cannot read the store."""
+    turned_away = await fleet.add("away")
+    await turned_away.gossip._seeds.keep(turned_away.address)
+    turned_away.gossip._seeds.store = FakeStore(available=False)
+    joining = asyncio.create_task(turned_away.join())
+    founder = await fleet.add("founder", store_backoff_min_s=0.05)
+    assert isinstance(await asyncio.wait_for(founder.join(), 20), Founded)
+    assert isinstance(await asyncio.wait_for(joining, 5), Joined)
+
+
+async def test_silent_seeds_do_not_delay_a_join(fleet: Fleet, monkeypatch) -> None:
+    """Guards against a node that waits for hosts without power, one after the other."""
+    joined = await fleet.add("joined")
+    await joined.join()
+    await joined.gossip._seeds.keep(joined.address)
+    late = await fleet.add("late")
+    silent = [Address("127.0.0.1", port) for port in (1, 2)]
+    for number, address in enumerate(silent):
+        fleet.store.address_by_node[("d1", f"silent{number}")] = address
+    join_at = late.gossip._join_at
+
+    async def hang_at_silent(seed):
+        if seed.address in silent:
+            await asyncio.sleep(3600)
+        return await join_at(seed)
+
+    monkeypatch.setattr(late.gossip, "_join_at", hang_at_silent)
+    assert isinstance(await asyncio.wait_for(late.join(), 20), Joined)
+
+
 async def test_joining_node_learns_its_own_previous_record(fleet: Fleet) -> None:
     """Guards against a restarted node that forgets which targets had announced to leave (P7)."""
     await fleet.grow(3)
