--- a/jaypost/announcements.py
+++ b/jaypost/announcements.py
@@ -108,7 +108,6 @@
     """Departures that this node acknowledged before it was restarted."""
 
     departures: tuple[Departure, ...]
-    now: float
 
 
 @dataclass(frozen=True, slots=True)
--- a/jaypost/connections.py
+++ b/jaypost/connections.py
@@ -259,7 +259,7 @@
             reading, self._reading = self._reading, None
             reading.request_done = True
             if reading.is_ended:
-                self._advance()
+                self.advance()
             else:
                 reading.call_body_end()
 
@@ -296,11 +296,9 @@
         if not exchange.is_ended:
             exchange.call = call
 
-    def _release_held(self) -> None:
-        if not self._held or self._exchanges or self._transport is None:
-            return
+    def _release_held(self, transport: asyncio.Transport) -> None:
         events, self._held = self._held, []
-        self._transport.resume_reading()
+        transport.resume_reading()
         self._dispatch_all(events)
 
     def _fail(self, kind: ErrorKind, reason: str) -> None:
@@ -314,7 +312,7 @@
             exchange = _ServerExchange(self, None)
             self._exchanges.append(exchange)
             exchange.send_answer(self._handlers.refuse(kind))
-        self._advance()
+        self.advance()
 
     def _cancel_exchanges(self) -> None:
         exchanges, self._exchanges = self._exchanges, deque()
@@ -385,11 +383,7 @@
         else:
             self._transport.pause_reading()
 
-    def ended(self) -> None:
-        """Note that the response that comes next is written whole."""
-        self._advance()
-
-    def _advance(self) -> None:
+    def advance(self) -> None:
         """Remove what is answered and let the next response go."""
         while self._exchanges and self._transport is not None and not self._lingering:
             first = self._exchanges[0]
@@ -416,7 +410,7 @@
         if self._reading is None:
             self._stop_watch()
         if self._held:
-            self._release_held()
+            self._release_held(self._transport)
         else:
             self._dispatch_all([])
 
@@ -425,7 +419,7 @@
         self._held.clear()
         self._linger()
 
-    def abort(self, exchange: _ServerExchange) -> None:
+    def abort(self) -> None:
         """Close the connection at once, without the end of the response."""
         transport = self._transport
         if transport is None:
@@ -544,7 +538,7 @@
         self._waiting_bytes = 0
         self._write_out()
         if self._aborted:
-            self._connection.abort(self)
+            self._connection.abort()
         return self._aborted
 
     # Responder
@@ -577,7 +571,7 @@
             return
         self._write_out()
         if self.is_ended:
-            self._connection.ended()
+            self._connection.advance()
 
     def abort(self) -> None:
         """Close the connection without the end of the response."""
@@ -585,7 +579,7 @@
         self._out.clear()
         self._aborted = True
         if self._connection.is_first(self):
-            self._connection.abort(self)
+            self._connection.abort()
 
     def pause_body(self) -> None:
         """Stop reading."""
--- a/jaypost/daemon.py
+++ b/jaypost/daemon.py
@@ -316,7 +316,7 @@
         if departures:
             names = [item.target_id for item in departures]
             self.events.record(EventName.DEPARTURES_ADOPTED, targets=names)
-            self.announcements.handle(Adopt(departures, time.monotonic()))
+            self.announcements.handle(Adopt(departures))
 
     async def _keep_departures(self) -> bool:
         return await self.departures.keep(self.announcements.departures)
--- a/jaypost/ingress.py
+++ b/jaypost/ingress.py
@@ -608,9 +608,7 @@
         if len(self._live) > 1:
             return False
         refusal = Refusal(None, head.status, True, FINAL in head.control, load, True)
-        self._arrivals += 1
-        decision = self._decide(refusal)
-        self._arrivals -= 1  # counted when the attempt is forgotten
+        decision = self._decide(refusal, self._arrivals + 1)
         if isinstance(decision, GiveUp):
             self._final = self._final or decision.final
             return False
@@ -696,7 +694,7 @@
         self._forget(attempt, refusal)
         if self._live:
             return  # the other attempt of a hedge may still succeed
-        decision = self._decide(refusal)
+        decision = self._decide(refusal, self._arrivals)
         log.info(
             EventName.ATTEMPT_FAILED,
             request_id=self._request_id.decode("latin-1"),
@@ -719,7 +717,7 @@
         else:
             self._attempt()
 
-    def _decide(self, refusal: Refusal) -> GiveUp | Retry:
+    def _decide(self, refusal: Refusal, arrivals: int) -> GiveUp | Retry:
         row = self._row
         assert row is not None
         now = self._ingress.clock()
@@ -737,7 +735,7 @@
                 self._deadline - now,
                 now,
                 self._maybe_run,
-                self._arrivals,
+                arrivals,
                 self._hand_overs,
             )
         )
--- a/tests/test_announcements.py
+++ b/tests/test_announcements.py
@@ -130,7 +130,7 @@
 def test_departures_are_adopted_after_a_restart(host):
     """Guards against a restarted node that sends work to a target which it saw leave (P7)."""
     host.put("t1", 0.0, born=5, sequence=1)
-    host.owner.handle(a.Adopt((a.Departure("t1", 5), a.Departure("t2", 7)), 0.1))
+    host.owner.handle(a.Adopt((a.Departure("t1", 5), a.Departure("t2", 7))))
     assert [target.state for target in host.owner.targets] == [TargetState.DRAINING]
     host.put("t2", 0.2, born=7, sequence=9, port=9001)
     host.put("t3", 0.2, born=7, sequence=9, port=9001)
