Let the targets of a leaving node serve on for half of the drain delay

From SIGTERM to the ready message of the next process 4.2 s pass, and for all of them the target of the host got no calls, because it was published as draining at once; two of seven targets were idle at any time, and 13 to 30 in 100 requests were refused. Ruled out: the time to join and to come back (1.2 s of the 4.2), and the targets themselves, which run on.

Change: the own targets are published as draining after half of the drain delay, which leaves the other half for the news. The node is unready and leaving at once.

--- a/jaypost/daemon.py
+++ b/jaypost/daemon.py
@@ -66,6 +66,9 @@
 PERIODIC_WORK_S = 10.0
 # The end of a process takes this much of the time between SIGTERM and SIGKILL.
 GRACE_MARGIN_S = 0.8
+# Part of the drain delay in which the targets of a leaving node still get calls of other nodes. The
+# rest is for the news, which need a synchronisation interval at most, and for the last calls.
+TARGETS_SERVE_ON_FRACTION = 0.5
 # Time in seconds to tell the peers, and then to close; a peer that is cut off answers neither.
 FAREWELL_TIMEOUT_S = 0.3
 
@@ -232,15 +235,25 @@
     async def _leave(self) -> bool:
         self.events.record(EventName.NODE_DRAINING, node=self.settings.node_id)
         self._ready, self._reason = False, "the node is leaving"
-        self.announcements.handle(DrainAll(time.monotonic()))
         self.gossip.publish(state=NodeState.LEAVING)
         timeout_s = self._drain_timeout_s()
-        drained = await asyncio.gather(self.ingress.drain(timeout_s), self.egress.drain(timeout_s))
+        *drained, _ = await asyncio.gather(
+            self.ingress.drain(timeout_s), self.egress.drain(timeout_s), self._drain_targets()
+        )
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(FAREWELL_TIMEOUT_S):
                 await self.gossip.leave()
         return all(drained)
 
+    async def _drain_targets(self) -> None:
+        """Publish the own targets as draining in time for the other nodes to know.
+
+        Until then they serve on: a restart would otherwise take their slots out of use for the
+        whole drain delay.
+        """
+        await asyncio.sleep(self.settings.drain_delay_s * TARGETS_SERVE_ON_FRACTION)
+        self.announcements.handle(DrainAll(time.monotonic()))
+
     def _drain_timeout_s(self) -> float:
         """Return the time for calls in flight, which ends before the process is killed."""
         left_s = self.settings.grace_s - self.settings.drain_delay_s - GRACE_MARGIN_S
--- a/tests/test_daemon.py
+++ b/tests/test_daemon.py
@@ -3,13 +3,16 @@
 from __future__ import annotations
 
 import asyncio
+import json
 import time
 
 import pytest
-from admin_fakes import load_settings
+from admin_fakes import VALID, load_settings
 
 from jaypost import daemon
+from jaypost.announcements import Announce
 from jaypost.events import EventLog
+from jaypost.records import TargetState
 from jaypost.store import StoreCallEnded
 
 
@@ -48,6 +51,24 @@
     assert time.monotonic() - started < 20
 
 
+async def test_targets_of_a_leaving_node_serve_on_until_the_others_must_know():
+    """Guards against slots that are idle for the whole drain delay of each restart."""
+    settings = load_settings(drain_delay_s=1.0)
+    node = daemon.Node(settings, EventLog())
+    node.gossip = SilentGossip()
+    began = time.monotonic()
+    node.egress.loop = asyncio.get_running_loop()
+    node.announcements.handle(Announce("t1", json.dumps(VALID).encode(), began))
+    leaving = asyncio.create_task(node._leave())
+    await asyncio.sleep(0.1)
+    states = {target.state for target in node.announcements.targets}
+    if time.monotonic() - began < settings.drain_delay_s * daemon.TARGETS_SERVE_ON_FRACTION:
+        assert states == {TargetState.READY}
+    async with asyncio.timeout(30):
+        await leaving
+    assert {target.state for target in node.announcements.targets} == {TargetState.DRAINING}
+
+
 @pytest.mark.parametrize(
     ("statuses", "expected"),
     [
