--- a/bench/chaos.py
+++ b/bench/chaos.py
@@ -28,7 +28,8 @@
 from bench.chaos_checks import Broken, OperatorChange, RunRecord, Sample, SentCall
 from bench.chaos_faults import FaultRunner, Subjects, draw_schedule
 from jaypost.records import Address, Delta, Row, RowChange, Table
-from jaypost.store import StoreClient, StoreFailed
+from jaypost.store import StoreFailed
+from jaypost.store_client import StoreClient
 from jaypost.writers import Accepted, TableEdit, TableWriter, new_change_id
 from standins.caller import Caller, CallPlan, CallResult
 from standins.processes import Fleet, NodePlace, http, http_json, place_node
--- a/bench/node_cost.py
+++ b/bench/node_cost.py
@@ -23,7 +23,7 @@
 
 from jaypost import logs
 from jaypost.records import Row, RowChange, Table
-from jaypost.store import StoreClient
+from jaypost.store_client import StoreClient
 from jaypost.table import parse_row
 from jaypost.writers import Accepted, TableEdit, TableWriter
 from standins.processes import (
--- a/jaypost/admin.py
+++ b/jaypost/admin.py
@@ -25,7 +25,7 @@
 from jaypost.events import EventLog
 from jaypost.logs import EventName
 from jaypost.metrics import CONTENT_TYPE, Metrics
-from jaypost.records import Address
+from jaypost.records import Address, TargetState
 from jaypost.settings import Settings
 
 log = structlog.get_logger(__name__)
@@ -148,6 +148,9 @@
         Decisions of the node.
     metrics : Metrics
         Metrics of the node.
+    keep_departures : callable, optional
+        Keeps the departures of targets beyond the life of this process, and tells whether they are
+        kept. A target that leaves gets its answer after that.
     """
 
     def __init__(
@@ -157,13 +160,16 @@
         announcements: Announcements,
         events: EventLog,
         metrics: Metrics,
+        keep_departures: Callable[[], Awaitable[bool]] | None = None,
     ) -> None:
         self._settings = settings
         self._node = node
         self._announcements = announcements
         self._events = events
         self._metrics = metrics
+        self._keep_departures = keep_departures
         self._server: asyncio.Server | None = None
+        self._further_servers: list[asyncio.Server] = []
         self._connections: set[asyncio.Task[None]] = set()
         self._fleet = _FleetCache(node.fleet)
         self._handlers_by_path: Mapping[tuple[str, int], Mapping[str, Handler]] = {
@@ -191,12 +197,19 @@
         """Listen on the admin address."""
         listen = self._settings.listen_admin
         self._server = await asyncio.start_server(self._accept, listen.host, listen.port)
+        for further in (self._settings.listen_targets, self._settings.listen_ready):
+            if further is not None:
+                server = await asyncio.start_server(self._accept, further.host, further.port)
+                self._further_servers.append(server)
 
     async def close(self) -> None:
         """Close the listening socket and all connections."""
         server, self._server = self._server, None
         if server is not None:
             server.close()
+        for further in self._further_servers:
+            further.close()
+        self._further_servers.clear()
         self._fleet.close()
         tasks = list(self._connections)
         for task in tasks:
@@ -223,16 +236,25 @@
     async def _put_target(self, request: Request) -> Reply:
         message = Announce(request.path[1], request.body, time.monotonic())
         reply = self._announcements.handle(message)
-        if isinstance(reply, TargetAccepted):
-            return json_reply({"target": reply.target})
-        return self._refusal(reply)
+        if not isinstance(reply, TargetAccepted):
+            return self._refusal(reply)
+        if reply.target.state is TargetState.DRAINING and not await self._departures_kept():
+            return error_reply(ErrorKind.NOT_READY, "the departure could not be kept")
+        return json_reply({"target": reply.target})
 
     async def _delete_target(self, request: Request) -> Reply:
         reply = self._announcements.handle(Withdraw(request.path[1], time.monotonic()))
         if isinstance(reply, AnnouncementRefused):
             return self._refusal(reply)
+        if not await self._departures_kept():
+            return error_reply(ErrorKind.NOT_READY, "the departure could not be kept")
         return json_reply({"targets": self._announcements.targets})
 
+    async def _departures_kept(self) -> bool:
+        if self._keep_departures is None or not self._announcements.departures:
+            return True
+        return await self._keep_departures()
+
     def _refusal(self, reply: object) -> Reply:
         if isinstance(reply, AnnouncementRefused):
             return error_reply(reply.kind, reply.reason)
--- a/jaypost/admission.py
+++ b/jaypost/admission.py
@@ -67,6 +67,8 @@
         Whether the request may wait for a slot.
     now : float
         Monotonic time in seconds.
+    priority : int
+        Rank in the queue; 0 goes first.
     """
 
     ticket: str
@@ -77,6 +79,12 @@
     deadline: float
     may_queue: bool
     now: float
+    priority: int = 0
+
+    @property
+    def rank(self) -> tuple[int, float]:
+        """Order in the queue of a tenant."""
+        return (self.priority, self.deadline)
 
 
 @dataclass(frozen=True, slots=True)
@@ -158,13 +166,17 @@
     call_class: CallClass
 
 
+# Rank, order of arrival and the request.
+_HeapEntry = tuple[tuple[int, float], int, _Waiting]
+
+
 @dataclass(slots=True)
 class _TenantQueue:
-    """Queued requests of one tenant, earliest deadline first in each class."""
+    """Queued requests of one tenant, by priority and then deadline in each class."""
 
     share: int
     finish: float
-    heap_by_class: dict[CallClass, list[tuple[float, int, _Waiting]]]
+    heap_by_class: dict[CallClass, list[_HeapEntry]]
     waiting: int = 0
 
 
@@ -328,7 +340,7 @@
             total = share + sum(queue.share for queue in self._queue_by_tenant.values())
         else:
             heap = tenant_queue.heap_by_class[call_class]
-            own = sum(1 for deadline, _, item in heap if item.live and deadline <= message.deadline)
+            own = sum(1 for rank, _, item in heap if item.live and rank <= message.rank)
             share = tenant_queue.share
             total = sum(queue.share for queue in self._queue_by_tenant.values())
         fair = (own + 1) * total / share
@@ -339,14 +351,12 @@
         message = item.message
         queue = self._queue_by_tenant.get(message.tenant)
         if queue is None:
-            heaps: dict[CallClass, list[tuple[float, int, _Waiting]]]
+            heaps: dict[CallClass, list[_HeapEntry]]
             heaps = {call_class: [] for call_class in CallClass}
             share = _share(message.row, message.tenant)
             queue = _TenantQueue(share, self._clock, heaps)
             self._queue_by_tenant[message.tenant] = queue
-        heapq.heappush(
-            queue.heap_by_class[message.call_class], (message.deadline, item.order, item)
-        )
+        heapq.heappush(queue.heap_by_class[message.call_class], (message.rank, item.order, item))
         queue.waiting += 1
         self.queued += 1
         self.queued_by_class[message.call_class] += 1
@@ -372,7 +382,7 @@
         classes = [item for item in CallClass if self.queued_by_class[item] and self.has_slot(item)]
         if not classes:
             return None
-        best: tuple[float, float, int] | None = None
+        best: tuple[float, tuple[int, float], int] | None = None
         chosen: tuple[_TenantQueue, _Waiting] | None = None
         for queue in self._queue_by_tenant.values():
             head = self._head(queue, classes)
@@ -381,7 +391,7 @@
             charge = self._charge(head) / queue.share
             # A tenant whose long work could not run must not take later short slots for it.
             finish = max(queue.finish + charge, self._clock)
-            rank = (finish, head.message.deadline, head.order)
+            rank = (finish, head.message.rank, head.order)
             if best is None or rank < best:
                 best, chosen = rank, (queue, head)
         if best is None or chosen is None:
@@ -395,14 +405,11 @@
     def expired(self, now: float) -> list[_Waiting]:
         """Take the requests that can no longer end before their deadline out of the queue."""
         late = []
-        for queue in list(self._queue_by_tenant.values()):
-            for call_class in CallClass:
-                head = self._head(queue, [call_class])
-                margin_s = self.durations_by_class[call_class].likely_s
-                while head is not None and head.message.deadline <= now + margin_s:
-                    self.remove(head)
-                    late.append(head)
-                    head = self._head(queue, [call_class])
+        for item in self.all_waiting():
+            margin_s = self.durations_by_class[item.message.call_class].likely_s
+            if item.message.deadline <= now + margin_s:
+                self.remove(item)
+                late.append(item)
         return late
 
     def push_out(self, message: Admit) -> _Waiting | None:
--- a/jaypost/announcements.py
+++ b/jaypost/announcements.py
@@ -12,10 +12,10 @@
 import structlog
 
 from jaypost.errors import ErrorKind
-from jaypost.events import EventLog
+from jaypost.events import EventLog, wall_clock_ms
 from jaypost.logs import EventName
-from jaypost.records import Target, TargetState
-from jaypost.settings import Settings
+from jaypost.records import LOOPBACK, Address, Target, TargetState
+from jaypost.settings import Settings, parse_address
 from jaypost.table import SERVICE_PATTERN
 
 log = structlog.get_logger(__name__)
@@ -31,13 +31,59 @@
 ANNOUNCED_STATES = frozenset({TargetState.STARTING, TargetState.READY, TargetState.DRAINING})
 
 
-class AnnouncementBody(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
-    """JSON body of ``PUT /targets/ID``."""
+# A target that missed this many announcements is gone.
+MISSED_ANNOUNCEMENTS = 3
+# Departures of withdrawn targets that the own record carries, newest last.
+KEPT_DEPARTURES = 8
+
+
+class AnnouncementBody(msgspec.Struct, frozen=True):
+    """JSON body of ``PUT /targets/ID``; fields that are not listed here are ignored.
+
+    Parameters
+    ----------
+    service : str
+        Service of the target.
+    slots : int
+        Requests that the target executes at the same time.
+    state : TargetState
+        State of the target.
+    port : int
+        Port on the loopback address of the host.
+    address : str
+        Address on the host, ``IP:PORT``, in place of `port`.
+    born : int
+        Start time of the target in milliseconds since 1970; 0 when it does not tell.
+    sequence : int
+        Number of the announcement since that start, by which a late one is recognised.
+    """
 
     service: str
-    port: int
     slots: int
     state: TargetState
+    port: int = 0
+    address: str = ""
+    born: int = 0
+    sequence: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class Announcement:
+    """A checked announcement; the incarnation of its target and `sequence` give its order."""
+
+    target: Target
+    sequence: int
+
+
+@dataclass(frozen=True, slots=True)
+class Departure:
+    """A start of a target that drains or is gone; no later announcement takes that back.
+
+    `incarnation` is the start time of the target in milliseconds since 1970.
+    """
+
+    target_id: str
+    incarnation: int
 
 
 @dataclass(frozen=True, slots=True)
@@ -57,6 +103,14 @@
     now: float
 
 
+@dataclass(frozen=True, slots=True)
+class Adopt:
+    """Departures that this node acknowledged before it was restarted."""
+
+    departures: tuple[Departure, ...]
+    now: float
+
+
 @dataclass(frozen=True, slots=True)
 class DrainAll:
     """The node leaves: every target is published as draining from now on."""
@@ -93,7 +147,7 @@
     reason: str
 
 
-Message = Announce | Withdraw | DrainAll | Tick
+Message = Announce | Withdraw | Adopt | DrainAll | Tick
 Reply = TargetAccepted | TargetsListed | AnnouncementRefused
 
 
@@ -101,6 +155,7 @@
 class _Entry:
     target: Target
     heard_at: float
+    sequence: int = 0
 
 
 class Announcements:
@@ -122,7 +177,9 @@
         on_targets: Callable[[tuple[Target, ...]], None],
         events: EventLog,
     ) -> None:
-        self._timeout_s = settings.announcement_timeout_s
+        self.use(settings)
+        self._incarnation_by_departed_id: dict[str, int] = {}
+        self._withdrawn: tuple[Target, ...] = ()
         self._on_targets = on_targets
         self._events = events
         self._entry_by_id: dict[str, _Entry] = {}
@@ -131,6 +188,15 @@
         self._ticked_at: float | None = None
         self._timer: asyncio.Task[None] | None = None
 
+    def use(self, settings: Settings) -> None:
+        """Take settings into use."""
+        self._timeout_s = min(
+            settings.announcement_timeout_s,
+            MISSED_ANNOUNCEMENTS * settings.announcement_interval_ms / 1000,
+        )
+        self._own_host = settings.listen_caller.host
+        self._own_service = settings.service
+
     @property
     def targets(self) -> tuple[Target, ...]:
         """Targets as published, ordered by id."""
@@ -161,15 +227,30 @@
 
     @handle.register
     def _announce(self, message: Announce) -> Reply:
-        parsed = parse_announcement(message.target_id, message.body)
-        if isinstance(parsed, AnnouncementRefused):
-            return self._refuse(message.target_id, parsed)
-        refusal = self._make_room(parsed, message.now)
+        announced = parse_announcement(message.target_id, message.body, self._own_host)
+        if isinstance(announced, AnnouncementRefused):
+            return self._refuse(message.target_id, announced)
+        target = announced.target
+        if self._own_service and (target.service != self._own_service or not target.incarnation):
+            reason = f"targets of this host belong to {self._own_service!r} and tell their start"
+            foreign = AnnouncementRefused(ErrorKind.BAD_REQUEST, reason)
+            return self._refuse(message.target_id, foreign)
+        if self._is_late(announced):
+            log.info(
+                EventName.ANNOUNCEMENT_LATE,
+                target_id=target.target_id,
+                incarnation=target.incarnation,
+                sequence=announced.sequence,
+            )
+            return TargetAccepted(replace(target, state=TargetState.DRAINING))
+        refusal = self._make_room(target, message.now)
         if refusal is not None:
             return self._refuse(message.target_id, refusal)
-        target = self._effective(parsed)
+        if target.state is TargetState.DRAINING:
+            self._depart(target.target_id, target.incarnation)
+        target = self._effective(target)
         previous = self._entry_by_id.get(target.target_id)
-        self._entry_by_id[target.target_id] = _Entry(target, message.now)
+        self._entry_by_id[target.target_id] = _Entry(target, message.now, announced.sequence)
         if previous is None:
             self._record(EventName.TARGET_ANNOUNCED, target)
         elif previous.target != target:
@@ -181,11 +262,27 @@
     def _withdraw(self, message: Withdraw) -> Reply:
         entry = self._entry_by_id.pop(message.target_id, None)
         if entry is None:
-            return AnnouncementRefused(ErrorKind.NOT_FOUND, "no such target")
+            # The answer to an earlier withdrawal was lost, or this node was restarted since. What
+            # started before now has left; its late announcements must not bring it back.
+            self._depart(message.target_id, wall_clock_ms())
+            return TargetsListed(self._published)
+        self._depart(message.target_id, entry.target.incarnation)
+        if entry.target.incarnation:
+            gone = replace(entry.target, state=TargetState.GONE)
+            self._withdrawn = (*self._withdrawn, gone)[-KEPT_DEPARTURES:]
         self._record(EventName.TARGET_GONE, entry.target, reason="withdrawn")
         self._publish()
         return TargetsListed(self._published)
 
+    @handle.register
+    def _adopt(self, message: Adopt) -> Reply:
+        for departure in message.departures:
+            self._depart(departure.target_id, departure.incarnation)
+        for target_id, entry in self._entry_by_id.items():
+            self._entry_by_id[target_id] = replace(entry, target=self._effective(entry.target))
+        self._publish()
+        return TargetsListed(self._published)
+
     @handle.register
     def _drain_all(self, message: DrainAll) -> Reply:
         self._draining = True
@@ -219,11 +316,51 @@
             heard_at = min(now, entry.heard_at + pause)
             self._entry_by_id[target_id] = replace(entry, heard_at=heard_at)
 
+    @property
+    def departures(self) -> tuple[Departure, ...]:
+        """Departures that this node has acknowledged or adopted."""
+        return tuple(
+            Departure(target_id, incarnation)
+            for target_id, incarnation in self._incarnation_by_departed_id.items()
+        )
+
+    def _depart(self, target_id: str, incarnation: int) -> None:
+        if not incarnation:
+            return  # a target that tells no start time may announce itself as ready again
+        known = self._incarnation_by_departed_id.pop(target_id, 0)
+        self._incarnation_by_departed_id[target_id] = max(known, incarnation)
+        while len(self._incarnation_by_departed_id) > MAX_TARGETS:
+            del self._incarnation_by_departed_id[next(iter(self._incarnation_by_departed_id))]
+
+    def _has_departed(self, target: Target) -> bool:
+        departed = self._incarnation_by_departed_id.get(target.target_id, 0)
+        return 0 < target.incarnation <= departed
+
+    def _is_late(self, announced: Announcement) -> bool:
+        """Tell whether an announcement is older than what is known."""
+        target = announced.target
+        if not target.incarnation:
+            return False
+        entry = self._entry_by_id.get(target.target_id)
+        if entry is None:
+            # An entry of a target that drains lives on with its renewals; a new one is late.
+            if self._has_departed(target) and target.state is not TargetState.DRAINING:
+                return True
+        elif target.incarnation != entry.target.incarnation:
+            return target.incarnation < entry.target.incarnation
+        elif announced.sequence and announced.sequence <= entry.sequence:
+            return True
+        return any(
+            other.target.port == target.port and other.target.incarnation > target.incarnation
+            for other in self._entry_by_id.values()
+        )
+
     def _make_room(self, target: Target, now: float) -> AnnouncementRefused | None:
         for other in list(self._entry_by_id.values()):
             if other.target.target_id == target.target_id or other.target.port != target.port:
                 continue
-            if now - other.heard_at < self._timeout_s * PORT_TAKEOVER_FRACTION:
+            succeeds = target.incarnation > other.target.incarnation > 0
+            if not succeeds and now - other.heard_at < self._timeout_s * PORT_TAKEOVER_FRACTION:
                 reason = f"port {target.port} belongs to target {other.target.target_id!r}"
                 return AnnouncementRefused(ErrorKind.BAD_REQUEST, reason)
             del self._entry_by_id[other.target.target_id]
@@ -235,10 +372,12 @@
         return None
 
     def _effective(self, target: Target) -> Target:
-        return replace(target, state=TargetState.DRAINING) if self._draining else target
+        leaves = self._draining or self._has_departed(target)
+        return replace(target, state=TargetState.DRAINING) if leaves else target
 
     def _publish(self) -> None:
-        targets = tuple(self._entry_by_id[key].target for key in sorted(self._entry_by_id))
+        present = tuple(self._entry_by_id[key].target for key in sorted(self._entry_by_id))
+        targets = present + self._withdrawn
         if targets != self._published:
             self._published = targets
             self._on_targets(targets)
@@ -267,26 +406,57 @@
             await asyncio.sleep(TICK_S)
 
 
-def parse_announcement(target_id: str, body: bytes) -> Target | AnnouncementRefused:
-    """Check the identifier and the JSON body of an announcement."""
+def parse_announcement(
+    target_id: str, body: bytes, own_host: str = LOOPBACK
+) -> Announcement | AnnouncementRefused:
+    """Check the identifier and the JSON body of an announcement.
+
+    Parameters
+    ----------
+    target_id : str
+        Identifier of the target.
+    body : bytes
+        JSON body.
+    own_host : str
+        Address of this host, where its targets may listen besides loopback.
+    """
     try:
         parsed = msgspec.json.decode(body, type=AnnouncementBody)
     except (msgspec.DecodeError, UnicodeDecodeError) as error:
         return AnnouncementRefused(ErrorKind.BAD_REQUEST, str(error))
-    problem = _problem(target_id, parsed)
+    address = Address(LOOPBACK, parsed.port)
+    if parsed.address:
+        try:
+            address = parse_address(parsed.address)
+        except ValueError as error:
+            return AnnouncementRefused(ErrorKind.BAD_REQUEST, f"address {error}")
+    problem = _problem(target_id, parsed, address, own_host)
     if problem is not None:
         return AnnouncementRefused(ErrorKind.BAD_REQUEST, problem)
-    return Target(target_id, parsed.service, parsed.port, parsed.slots, parsed.state)
-
-
-def _problem(target_id: str, body: AnnouncementBody) -> str | None:
+    target = Target(
+        target_id,
+        parsed.service,
+        address.port,
+        parsed.slots,
+        parsed.state,
+        parsed.born,
+        address.host,
+    )
+    return Announcement(target, parsed.sequence)
+
+
+def _problem(target_id: str, body: AnnouncementBody, address: Address, own_host: str) -> str | None:
     name_rule = f"must be 1 to {MAX_NAME_CHARACTERS} letters, digits, '-', '_' or '.'"
     if not _is_name(target_id):
         return f"target id {name_rule}"
     if not SERVICE_PATTERN.fullmatch(body.service):
         return "service must be 1 to 64 lower-case letters, digits, '-', '_' or '.'"
-    if not 1 <= body.port <= 65_535:
+    if address.host not in (LOOPBACK, own_host):
+        return f"address must be on this host, {own_host}"
+    if not 1 <= address.port <= 65_535:
         return "port must be between 1 and 65535"
+    if body.born < 0 or body.sequence < 0:
+        return "born and sequence must not be negative"
     if not 1 <= body.slots <= MAX_SLOTS:
         return f"slots must be between 1 and {MAX_SLOTS}"
     if body.state not in ANNOUNCED_STATES:
--- a/jaypost/calls.py
+++ b/jaypost/calls.py
@@ -21,6 +21,12 @@
 MAY_QUEUE = b"x-jaypost-may-queue"
 CLASS = b"x-jaypost-class"
 VERSION = b"x-jaypost-version"
+CALLER = b"x-jaypost-caller"
+PRIORITY = b"x-jaypost-priority"
+SHED = b"x-jaypost-shed"
+TARGET_LOAD = b"x-jaypost-target-load"
+ARRIVED = b"x-jaypost-arrived"
+RETRY_AFTER = b"retry-after"
 ERROR = b"x-jaypost-error"
 RUN = b"x-jaypost-run"
 LOAD = b"x-jaypost-load"
@@ -93,6 +99,7 @@
     load: Load | None = None,
     final: bool = False,
     detail: dict[str, object] | None = None,
+    retry_after_s: float | None = None,
 ) -> ErrorAnswer:
     """Return the response for `kind`; `run_state` replaces the one of the kind's answer."""
     answer = ANSWER_BY_KIND[kind]
@@ -113,6 +120,8 @@
     if final:
         control[FINAL] = b"1"
     headers = [(b"content-type", b"application/json")]
+    if retry_after_s is not None:
+        headers.append((RETRY_AFTER, b"%.3f" % retry_after_s))
     return ErrorAnswer(ResponseHead(answer.status, control, headers, len(body)), body)
 
 
--- a/jaypost/codecs.py
+++ b/jaypost/codecs.py
@@ -1,15 +1,16 @@
 """HTTP/1.1 codecs: bytes to typed events and back, by h11 or by httptools.
 
 The rules that decide where a message ends are checked here, before and after the library, so that
-both libraries accept exactly the same input. Pipelining is not supported: bytes that follow the
-end of a message are reported by `surplus`, and the owner closes the connection after its answer.
+both libraries accept exactly the same input. httptools keeps bytes that follow the end of a
+message for the next one, unless the message was chunked; else `surplus` reports them, and the owner
+closes the connection after its answer.
 """
 
 from __future__ import annotations
 
 import re
 from abc import ABC, abstractmethod
-from collections.abc import Iterable
+from collections.abc import Iterable, Iterator, Mapping
 from dataclasses import dataclass
 from enum import Enum, auto
 from functools import lru_cache
@@ -27,6 +28,30 @@
 
 _CONTROL_NAMES = frozenset({b"host", b"x-request-id", b"idempotency-key"})
 _CONTROL_PREFIX = b"x-jaypost-"
+
+
+@dataclass(frozen=True, slots=True)
+class HeaderDialect:
+    """Names that the headers of jaypost have on the connections of callers or of targets.
+
+    Headers that begin with ``x-jaypost-`` are never taken from such a connection.
+
+    Parameters
+    ----------
+    name_by_wire : Mapping[bytes, bytes]
+        Names of jaypost by the names on the wire, in lower case. Both are control headers.
+    dropped : frozenset of bytes
+        Headers on the wire that are not passed on.
+    """
+
+    name_by_wire: Mapping[bytes, bytes]
+    dropped: frozenset[bytes] = frozenset()
+
+    def encode(self, control: Mapping[bytes, bytes]) -> dict[bytes, bytes]:
+        """Return the control headers that the other side knows, by their names on the wire."""
+        return {wire: control[name] for wire, name in self.name_by_wire.items() if name in control}
+
+
 # Headers of one hop only (RFC 9110, 7.6.1). The codec reads or drops them; no head carries them.
 _HOP_NAMES = frozenset(
     {
@@ -166,10 +191,21 @@
     expect_continue: bool
 
 
-def _sort_headers(raw: Iterable[Header], http_1_0: bool) -> _Fields:
+def _in_own_names(raw: Iterable[Header], dialect: HeaderDialect) -> Iterator[Header]:
+    for name, value in raw:
+        own = dialect.name_by_wire.get(name)
+        if own is not None:
+            yield own, value
+        elif name not in dialect.dropped and not name.startswith(_CONTROL_PREFIX):
+            yield name, value
+
+
+def _sort_headers(raw: Iterable[Header], http_1_0: bool, dialect: HeaderDialect | None) -> _Fields:
     control: dict[bytes, bytes] = {}
     headers: list[Header] = []
     hop: dict[bytes, bytes] = {}
+    if dialect is not None:
+        raw = _in_own_names(raw, dialect)
     for name, value in raw:
         if name in _HOP_NAMES:
             if name in hop:
@@ -238,14 +274,20 @@
     return version == "1.0"
 
 
-def _build_request(method: str, target: bytes, version: str, raw: Iterable[Header]) -> RequestHead:
+def _build_request(
+    method: str,
+    target: bytes,
+    version: str,
+    raw: Iterable[Header],
+    dialect: HeaderDialect | None,
+) -> RequestHead:
     if method not in METHODS:
         raise _RefusedError(f"method {method[:20]!r} is not supported")
     text = target.decode("latin-1")
     if not _PATH.fullmatch(text) and (method, text) != ("OPTIONS", "*"):
         raise _RefusedError("the request target is not a path")
     http_1_0 = _is_http_1_0(version)
-    fields = _sort_headers(raw, http_1_0)
+    fields = _sort_headers(raw, http_1_0, dialect)
     host = fields.control.get(b"host")
     if host is None and not http_1_0:
         raise _RefusedError("header host is missing")
@@ -264,12 +306,14 @@
     )
 
 
-def _build_response(status: int, version: str, raw: Iterable[Header]) -> ResponseHead:
+def _build_response(
+    status: int, version: str, raw: Iterable[Header], dialect: HeaderDialect | None
+) -> ResponseHead:
     if not 100 <= status <= 599:
         raise _RefusedError(f"status {status} is out of range")
     if status == HTTPStatus.SWITCHING_PROTOCOLS:
         raise _RefusedError("the protocol was switched without being asked")
-    fields = _sort_headers(raw, _is_http_1_0(version))
+    fields = _sort_headers(raw, _is_http_1_0(version), dialect)
     return ResponseHead(
         status,
         fields.control,
@@ -295,6 +339,8 @@
     ----------
     header_limit : int
         Largest head in bytes, and largest run of chunk framing without content.
+    dialect : HeaderDialect, optional
+        Names of the headers on this connection; those of jaypost when it is left out.
 
     Attributes
     ----------
@@ -305,10 +351,16 @@
     unframed : bool
         Whether the response that is sent ends with the connection, so that only a reset of the
         connection shows that it is cut.
+    sequential : bool
+        Whether the response to a request must be encoded before the next request is decoded.
     """
 
+    sequential = False
+
     __slots__ = (
         "_buffer",
+        "_dialect",
+        "_following",
         "_framing_bytes",
         "_header_limit",
         "_phase",
@@ -317,9 +369,11 @@
         "unframed",
     )
 
-    def __init__(self, header_limit: int) -> None:
+    def __init__(self, header_limit: int, dialect: HeaderDialect | None = None) -> None:
         self._header_limit = header_limit
+        self._dialect = dialect
         self._buffer = b""
+        self._following = b""
         self._phase = _Phase.HEAD
         self._framing_bytes = 0
         self.surplus = False
@@ -359,10 +413,19 @@
         """Tell whether the whole message of the other side was received."""
         return self._phase is _Phase.DONE
 
+    @property
+    def following(self) -> bool:
+        """Tell whether bytes of a further message were kept."""
+        return bool(self._following)
+
     def next_message(self) -> None:
-        """Get ready for the next message, after both sides of the exchange are complete."""
+        """Get ready for the next message, after this one is complete.
+
+        `receive` then also decodes what was kept; it may be called without new data.
+        """
         self._phase = _Phase.HEAD
         self._framing_bytes = 0
+        self._buffer, self._following = self._following, b""
 
     def _decode(self, data: bytes, events: list[Event]) -> None:
         while True:
@@ -379,12 +442,21 @@
                 self._decode_body(data, events)
                 return
             else:
-                self.surplus = self.surplus or bool(data)
+                self._keep(data)
                 return
 
+    def _keep(self, data: bytes) -> None:
+        """Take bytes that follow the message; a subclass may keep them for the next one."""
+        self.surplus = self.surplus or bool(data)
+
+    def _encode_control(self, control: dict[bytes, bytes]) -> Mapping[bytes, bytes]:
+        return control if self._dialect is None else self._dialect.encode(control)
+
     def _split_head(self, data: bytes) -> tuple[bytes, bytes]:
         if self._buffer:
             data = self._buffer + data
+        if not data:
+            return b"", b""
         if data.startswith(b"\r\n"):
             data = data[2:]  # RFC 9112, 2.2: an empty line before a message is ignored
         end = data.find(b"\r\n\r\n")
@@ -429,8 +501,8 @@
     __slots__ = ()
 
     @abstractmethod
-    def encode_response(self, head: ResponseHead) -> bytes:
-        """Encode the head of a response to the request received last."""
+    def encode_response(self, head: ResponseHead, request: RequestHead | None) -> bytes:
+        """Encode the head of a response to `request`; None when that could not be read."""
 
     def encode_continue(self) -> bytes:
         """Encode the request for the body."""
@@ -488,8 +560,8 @@
 
     __slots__ = ("_chunked_out", "_chunks", "_remaining")
 
-    def __init__(self, header_limit: int) -> None:
-        super().__init__(header_limit)
+    def __init__(self, header_limit: int, dialect: HeaderDialect | None = None) -> None:
+        super().__init__(header_limit, dialect)
         self._remaining: int | None = 0
         self._chunks: _ChunkDecoder | None = None
         self._chunked_out = False
@@ -510,7 +582,7 @@
                 events.append(BodyChunk(data))
             return
         if len(data) > self._remaining:
-            self.surplus = True
+            self._keep(data[self._remaining :])
             data = data[: self._remaining]
         if data:
             self._remaining -= len(data)
@@ -519,6 +591,12 @@
             self._phase = _Phase.DONE
             events.append(_END)
 
+    def _keep(self, data: bytes) -> None:
+        if self._chunks is not None:
+            super()._keep(data)
+        else:
+            self._following += data
+
     def _decode_chunks(self, chunks: _ChunkDecoder, data: bytes, events: list[Event]) -> None:
         content = chunks.feed(data)
         events.extend(map(BodyChunk, content))
@@ -564,11 +642,15 @@
 
 
 def _encode_head(
-    first_line: bytes, head: RequestHead | ResponseHead, framing: bytes, closing: bool
+    first_line: bytes,
+    control: Mapping[bytes, bytes],
+    headers: list[Header],
+    framing: bytes,
+    closing: bool,
 ) -> bytes:
     parts = [first_line]
-    parts += [b"%b: %b\r\n" % header for header in head.control.items()]
-    parts += [b"%b: %b\r\n" % header for header in head.headers]
+    parts += [b"%b: %b\r\n" % header for header in control.items()]
+    parts += [b"%b: %b\r\n" % header for header in headers]
     parts.append(framing)
     parts.append(b"connection: close\r\n\r\n" if closing else b"\r\n")
     return b"".join(parts)
@@ -577,16 +659,7 @@
 class HttptoolsServerCodec(_HttptoolsCodec, ServerCodec):
     """Server side by httptools."""
 
-    __slots__ = ("_request",)
-
-    def __init__(self, header_limit: int) -> None:
-        super().__init__(header_limit)
-        self._request: RequestHead | None = None
-
-    def next_message(self) -> None:
-        """Get ready for the next request."""
-        super().next_message()
-        self._request = None
+    __slots__ = ()
 
     def _parse_head(self, head: bytes) -> Event:
         collector = _HeadCollector()
@@ -599,15 +672,13 @@
             raise _RefusedError(f"malformed request: {error}") from None
         method = parser.get_method().decode("latin-1")
         request = _build_request(
-            method, collector.url, parser.get_http_version(), collector.headers
+            method, collector.url, parser.get_http_version(), collector.headers, self._dialect
         )
-        self._request = request
         self._expect_body(request.content_length or 0, request.chunked)
         return request
 
-    def encode_response(self, head: ResponseHead) -> bytes:
+    def encode_response(self, head: ResponseHead, request: RequestHead | None) -> bytes:
         """Encode the head of a response."""
-        request = self._request
         closing = not head.keep_alive or request is None or not request.keep_alive
         self._chunked_out = False
         framing = b""
@@ -621,7 +692,8 @@
         else:
             closing = self.unframed = True
         self.closing = closing
-        return _encode_head(_status_line(head.status), head, framing, closing)
+        control = self._encode_control(head.control)
+        return _encode_head(_status_line(head.status), control, head.headers, framing, closing)
 
 
 class HttptoolsClientCodec(_HttptoolsCodec, ClientCodec):
@@ -629,8 +701,8 @@
 
     __slots__ = ("_method",)
 
-    def __init__(self, header_limit: int) -> None:
-        super().__init__(header_limit)
+    def __init__(self, header_limit: int, dialect: HeaderDialect | None = None) -> None:
+        super().__init__(header_limit, dialect)
         self._method = ""
 
     def _parse_head(self, head: bytes) -> Event:
@@ -643,7 +715,7 @@
         except httptools.HttpParserError as error:
             raise _RefusedError(f"malformed response: {error}") from None
         response = _build_response(
-            parser.get_status_code(), parser.get_http_version(), collector.headers
+            parser.get_status_code(), parser.get_http_version(), collector.headers, self._dialect
         )
         if response.status < HTTPStatus.OK:
             return _CONTINUE
@@ -666,7 +738,8 @@
         if head.expect_continue:
             framing += b"expect: 100-continue\r\n"
         first_line = f"{head.method} {head.target} HTTP/1.1\r\n".encode("latin-1")
-        return _encode_head(first_line, head, framing, not head.keep_alive)
+        control = self._encode_control(head.control)
+        return _encode_head(first_line, control, head.headers, framing, not head.keep_alive)
 
 
 # h11
@@ -675,12 +748,14 @@
 class _H11Codec(Codec):
     """Framing shared by both sides of the h11 implementation."""
 
+    sequential = True
+
     __slots__ = ("_connection", "_until_close")
 
     _role: type[h11.CLIENT] | type[h11.SERVER]
 
-    def __init__(self, header_limit: int) -> None:
-        super().__init__(header_limit)
+    def __init__(self, header_limit: int, dialect: HeaderDialect | None = None) -> None:
+        super().__init__(header_limit, dialect)
         self._connection = self._new_connection()
         self._until_close = False
 
@@ -749,31 +824,24 @@
 class H11ServerCodec(_H11Codec, ServerCodec):
     """Server side by h11."""
 
-    __slots__ = ("_request",)
+    __slots__ = ()
 
     _role = h11.SERVER
 
-    def __init__(self, header_limit: int) -> None:
-        super().__init__(header_limit)
-        self._request: RequestHead | None = None
-
-    def next_message(self) -> None:
-        """Get ready for the next request."""
-        super().next_message()
-        self._request = None
-
     def _parse_head(self, head: bytes) -> Event:
         event = self._feed_head(head)
         assert isinstance(event, h11.Request)
-        self._request = _build_request(
-            event.method.decode(), event.target, event.http_version.decode(), event.headers
+        return _build_request(
+            event.method.decode(),
+            event.target,
+            event.http_version.decode(),
+            event.headers,
+            self._dialect,
         )
-        return self._request
 
-    def encode_response(self, head: ResponseHead) -> bytes:
+    def encode_response(self, head: ResponseHead, request: RequestHead | None) -> bytes:
         """Encode the head of a response."""
-        headers = [*head.control.items(), *head.headers]
-        request = self._request
+        headers = [*self._encode_control(head.control).items(), *head.headers]
         if head.content_length is not None:
             headers.append((b"content-length", b"%d" % head.content_length))
         elif head.status not in _BODYLESS_STATUSES and request is not None:
@@ -796,14 +864,16 @@
 
     _role = h11.CLIENT
 
-    def __init__(self, header_limit: int) -> None:
-        super().__init__(header_limit)
+    def __init__(self, header_limit: int, dialect: HeaderDialect | None = None) -> None:
+        super().__init__(header_limit, dialect)
         self._method = ""
 
     def _parse_head(self, head: bytes) -> Event:
         event = self._feed_head(head)
         assert isinstance(event, h11.Response | h11.InformationalResponse)
-        response = _build_response(event.status_code, event.http_version.decode(), event.headers)
+        response = _build_response(
+            event.status_code, event.http_version.decode(), event.headers, self._dialect
+        )
         if response.status < HTTPStatus.OK:
             return _CONTINUE
         self.closing = self.closing or not response.keep_alive
@@ -815,7 +885,7 @@
     def encode_request(self, head: RequestHead) -> bytes:
         """Encode the head of a request."""
         self._method = head.method
-        headers = [*head.control.items(), *head.headers]
+        headers = [*self._encode_control(head.control).items(), *head.headers]
         if head.chunked:
             headers.append((b"transfer-encoding", b"chunked"))
         elif head.content_length is not None:
@@ -837,11 +907,15 @@
 }
 
 
-def server_codec(library: HttpCodec, header_limit: int) -> ServerCodec:
+def server_codec(
+    library: HttpCodec, header_limit: int, dialect: HeaderDialect | None = None
+) -> ServerCodec:
     """Return a codec for a connection that was accepted."""
-    return _SERVER_CODECS[library](header_limit)
+    return _SERVER_CODECS[library](header_limit, dialect)
 
 
-def client_codec(library: HttpCodec, header_limit: int) -> ClientCodec:
+def client_codec(
+    library: HttpCodec, header_limit: int, dialect: HeaderDialect | None = None
+) -> ClientCodec:
     """Return a codec for a connection that was opened."""
-    return _CLIENT_CODECS[library](header_limit)
+    return _CLIENT_CODECS[library](header_limit, dialect)
--- a/jaypost/config.py
+++ b/jaypost/config.py
@@ -18,6 +18,7 @@
     Delta,
     Destination,
     PlacedTarget,
+    RouteIndex,
     Row,
     RowProblem,
     Snapshot,
@@ -123,6 +124,7 @@
         self._in_force = table.EMPTY_TABLE
         self._suspended = False
         self._targets_by_service: Mapping[str, tuple[PlacedTarget, ...]] = {}
+        self._routes = RouteIndex()
         self.snapshot = Snapshot()
         self.floor = 0
         self.refused: RefusedVersion | None = None
@@ -181,9 +183,8 @@
         """Return the deltas from `version` to the held one, or None when a table is needed."""
         if version >= self.held_version:
             return ()
-        if not self._deltas or self._deltas[0].version > version + 1:
-            return None
-        return tuple(delta for delta in self._deltas if delta.version > version)
+        newer = tuple(delta for delta in self._deltas if delta.version > version)
+        return newer if newer and newer[0].base_version == version else None
 
     def offer(self, message: OfferDeltas | OfferTable, activate: bool = True) -> OfferOutcome:
         """Take over newer versions.
@@ -230,9 +231,11 @@
         self._valid = None
         if not self._may_come_into_force(version):
             return None
-        if not self._swap(_build_snapshot(version, self._targets_by_service)):
+        routes = RouteIndex(version.rows_by_service.values())
+        if not self._swap(_build_snapshot(version, self._targets_by_service, routes)):
             return None
         self._in_force = version
+        self._routes = routes
         self.floor = max(self.floor, version.version)
         log.info("version_in_force", node=self._node_id, version=version.version)
         if self.on_in_force is not None:
@@ -242,7 +245,7 @@
     def targets_changed(self, targets_by_service: Mapping[str, tuple[PlacedTarget, ...]]) -> None:
         """Rebuild the snapshot of the version in force for the targets that are known now."""
         self._targets_by_service = _without_gone(targets_by_service)
-        self._swap(_build_snapshot(self._in_force, self._targets_by_service))
+        self._swap(_build_snapshot(self._in_force, self._targets_by_service, self._routes))
 
     @singledispatchmethod
     def _take(self, message: object) -> Held | Stale | Gap | RefusedVersion:
@@ -250,13 +253,12 @@
 
     @_take.register
     def _(self, message: OfferDeltas) -> Held | Stale | Gap | RefusedVersion:
-        delta_by_version = {delta.version: delta for delta in message.deltas}
-        newer = sorted(version for version in delta_by_version if version > self.held_version)
-        if not newer:
+        newest_offered = max((delta.version for delta in message.deltas), default=0)
+        if newest_offered <= self.held_version:
             return Stale(self.held_version)
-        if newer != list(range(self.held_version + 1, self.held_version + 1 + len(newer))):
+        deltas = table.chain(message.deltas, self.held_version)
+        if not deltas or deltas[-1].version != newest_offered:
             return Gap(self.held_version)
-        deltas = [delta_by_version[version] for version in newer]
         base = self._held
         newest = table.apply_deltas(base, deltas)
         if isinstance(newest, table.DeltaRefused):
@@ -347,7 +349,9 @@
 
 
 def _build_snapshot(
-    version: Table, targets_by_service: Mapping[str, tuple[PlacedTarget, ...]]
+    version: Table,
+    targets_by_service: Mapping[str, tuple[PlacedTarget, ...]],
+    routes: RouteIndex,
 ) -> Snapshot:
     destinations_by_service = {}
     pending_by_service = {}
@@ -365,6 +369,7 @@
         destinations_by_service,
         pending_by_service,
         targets_by_service,
+        routes,
     )
 
 
--- a/jaypost/console.py
+++ b/jaypost/console.py
@@ -17,7 +17,8 @@
 from jaypost.formats import BadInput, FileFormat, RowColumns, read_rows, row_cells
 from jaypost.logs import printable
 from jaypost.records import Address, Row, RowProblem
-from jaypost.store import StoreClient, StoreFailed
+from jaypost.store import StoreFailed
+from jaypost.store_client import StoreClient
 from jaypost.writers import TableWriter
 
 NARROWEST_COLUMNS = 160
--- a/jaypost/daemon.py
+++ b/jaypost/daemon.py
@@ -12,7 +12,7 @@
 import sys
 import time
 from collections import Counter
-from collections.abc import Coroutine, Mapping
+from collections.abc import Coroutine, Mapping, Sequence
 from dataclasses import dataclass
 from http import HTTPStatus
 from typing import Any
@@ -23,16 +23,18 @@
 from jaypost import __version__, logs, settings
 from jaypost.admin import AdminServer, FleetReport, Readiness
 from jaypost.admission import Admission
-from jaypost.announcements import Announcements, DrainAll
+from jaypost.announcements import Adopt, Announcements, Departure, DrainAll
 from jaypost.calls import CallEnded
 from jaypost.claims import Claims
 from jaypost.config import ConfigHolder, RefusedVersion, Stale
+from jaypost.departures import Departures
 from jaypost.egress import Egress
 from jaypost.events import EventLog
 from jaypost.explanations import Explanation, NodePlace, explain
 from jaypost.gossip import Gossip
 from jaypost.health import TargetHealth
 from jaypost.ingress import Ingress
+from jaypost.integration import OWN_INTEGRATION, Integration
 from jaypost.invariants import raise_on_violation
 from jaypost.joining import Joined
 from jaypost.limits import FleetLimits
@@ -41,11 +43,20 @@
 from jaypost.peers import PeerChannels
 from jaypost.placement import Placement
 from jaypost.readers import ReadFailed, TableReader
-from jaypost.records import Address, NodeRecord, NodeState, Snapshot, Stamp, Target
+from jaypost.records import (
+    Address,
+    NodeRecord,
+    NodeState,
+    Snapshot,
+    Stamp,
+    Target,
+    TargetState,
+)
+from jaypost.reloading import SettingsFollower
 from jaypost.retries import RetryPolicy
 from jaypost.seeds import StoreSeeds
 from jaypost.settings import LoadedSettings, RefusedSettings, Settings
-from jaypost.store import StoreCallEnded, StoreClient
+from jaypost.store import StoreCallEnded
 from jaypost.view import MembershipView
 
 log = structlog.get_logger(__name__)
@@ -53,6 +64,8 @@
 EXIT_USAGE = 2
 EXIT_DRAIN_TIMEOUT = 1
 PERIODIC_WORK_S = 10.0
+# The end of a process takes this much of the time between SIGTERM and SIGKILL.
+GRACE_MARGIN_S = 0.4
 
 
 @dataclass(frozen=True, slots=True)
@@ -85,21 +98,36 @@
         Checked settings.
     events : EventLog
         Decisions of the node, which the log lines also feed.
+    integration : Integration
+        Forms of the store, callers and targets around the node.
     """
 
-    def __init__(self, node_settings: Settings, events: EventLog) -> None:
+    def __init__(
+        self,
+        node_settings: Settings,
+        events: EventLog,
+        integration: Integration = OWN_INTEGRATION,
+    ) -> None:
+        self._integration = integration
         self.settings = node_settings
         rng = random.Random()
         self.events = events
         self.metrics = Metrics(node_settings.label_limit)
-        self.store = StoreClient(
+        self.store = integration.make_store(
             node_settings.store, node_settings.store_timeout_s, self._on_store_call_ended
         )
         self.holder = ConfigHolder(node_settings, node_settings.node_id)
         self.holder.suspend()
         self.holder.on_in_force = self._on_in_force
         self.announcements = Announcements(node_settings, self._on_targets, self.events)
-        self.admin = AdminServer(node_settings, self, self.announcements, self.events, self.metrics)
+        self.admin = AdminServer(
+            node_settings,
+            self,
+            self.announcements,
+            self.events,
+            self.metrics,
+            self._keep_departures,
+        )
         self.health = TargetHealth(node_settings.ramp_s)
         self.placement = Placement(
             node_settings.failure_domain, node_settings.region, self.health, rng
@@ -110,6 +138,7 @@
             FleetLimits(),
             self._snapshot,
             self.metrics.execution_ended,
+            integration.target_dialect,
         )
         self.claims = Claims(self.store, node_settings.claim_rate)
         self.ingress = Ingress(
@@ -120,6 +149,8 @@
             self._snapshot,
             self._on_call_ended,
             self.egress,
+            integration.caller_dialect,
+            rng,
         )
         self._rng = rng
         self._unreachable_ids: frozenset[str] = frozenset()
@@ -163,8 +194,15 @@
         self.gossip = Gossip(own, self.view, self.holder, channels, self._rng, seeds)
         self.gossip.on_view_changed = self._on_view_changed
         self.gossip.status_problems = self._problems
+        self.gossip.on_previous_record = self._on_previous_record
+        self.departures = Departures(self.store, own.node_id, self.gossip.replicate_record)
         self.reader = TableReader(
-            self.store, self.holder, self.gossip.replicate, self.gossip.is_reader, own
+            self.store,
+            self.holder,
+            self.gossip.replicate,
+            self.gossip.is_reader,
+            own,
+            source=self._integration.make_table_source(own),
         )
         await self.gossip.start()
 
@@ -191,10 +229,21 @@
         self._ready, self._reason = False, "the node is leaving"
         self.announcements.handle(DrainAll(time.monotonic()))
         self.gossip.publish(state=NodeState.LEAVING)
-        drained = await asyncio.gather(self.ingress.drain(), self.egress.drain())
+        timeout_s = self._drain_timeout_s()
+        drained = await asyncio.gather(self.ingress.drain(timeout_s), self.egress.drain(timeout_s))
         await self.gossip.leave()
         return all(drained)
 
+    def _drain_timeout_s(self) -> float:
+        """Return the time for calls in flight, which ends before the process is killed."""
+        left_s = self.settings.grace_s - self.settings.drain_delay_s - GRACE_MARGIN_S
+        return max(0.0, min(self.settings.drain_timeout_s, left_s))
+
+    def apply_settings(self, new: Settings) -> None:
+        """Take settings into use that may change while the node runs."""
+        self.settings = self.ingress.settings = self.egress.settings = new
+        self.announcements.use(new)
+
     async def close(self) -> None:
         """Close every part in the reverse order of `start`."""
         tasks = list(self._tasks)
@@ -221,6 +270,7 @@
 
     async def _become_ready(self) -> None:
         """Join, then wait until no version older than one used before can come into force."""
+        self._spawn(self._load_departures())
         outcome = await self.gossip.join()
         self._reason = "the newest table version is not known yet"
         read = await self.reader.read_once()
@@ -240,6 +290,30 @@
         version = self.holder.in_force_version
         self.events.record(EventName.NODE_READY, node=self.settings.node_id, version=version)
 
+    async def _load_departures(self) -> None:
+        """Learn which targets left before this process started, as soon as the store tells it."""
+        departures = await self.departures.load()
+        while departures is None:
+            await asyncio.sleep(self.settings.store_backoff_min_s)
+            departures = await self.departures.load()
+        self._adopt(departures)
+
+    def _on_previous_record(self, record: NodeRecord) -> None:
+        left = (TargetState.DRAINING, TargetState.GONE)
+        departed = [target for target in record.targets if target.state in left]
+        if record.state in (NodeState.LEAVING, NodeState.LEFT):
+            departed = []  # the node left, not its targets
+        self._adopt(tuple(Departure(item.target_id, item.incarnation) for item in departed))
+
+    def _adopt(self, departures: tuple[Departure, ...]) -> None:
+        if departures:
+            names = [item.target_id for item in departures]
+            self.events.record(EventName.DEPARTURES_ADOPTED, targets=names)
+            self.announcements.handle(Adopt(departures, time.monotonic()))
+
+    async def _keep_departures(self) -> bool:
+        return await self.departures.keep(self.announcements.departures)
+
     async def _do_periodic_work(self) -> None:
         while True:
             await asyncio.sleep(PERIODIC_WORK_S)
@@ -382,10 +456,28 @@
         self._leaving.set()
 
 
-async def _serve(node_settings: Settings, events: EventLog) -> int:
-    node = Node(node_settings, events)
+async def _serve(
+    node_settings: Settings,
+    events: EventLog,
+    integration: Integration,
+    arguments: argparse.Namespace,
+) -> int:
+    node = Node(node_settings, events, integration)
     await node.start()
-    return await node.run()
+    if arguments.settings_file is None:
+        return await node.run()
+    follower = SettingsFollower(
+        arguments.settings_file,
+        node_settings,
+        lambda content: settings.load(arguments, {**content, **os.environ}),
+        node.apply_settings,
+    )
+    follower.start()
+    asyncio.get_running_loop().add_signal_handler(signal.SIGHUP, follower.signalled)
+    try:
+        return await node.run()
+    finally:
+        await follower.close()
 
 
 def _parser() -> argparse.ArgumentParser:
@@ -396,6 +488,9 @@
     parser.add_argument(
         "--check-settings", action="store_true", help="print the effective settings and exit"
     )
+    parser.add_argument(
+        "--settings-file", metavar="PATH", help="file of JAYPOST_NAME=value lines; followed"
+    )
     settings.add_flags(parser)
     return parser
 
@@ -404,6 +499,13 @@
     arguments: argparse.Namespace, environment: Mapping[str, str]
 ) -> LoadedSettings | None:
     """Load the settings, or print every problem on stderr and return None."""
+    path = getattr(arguments, "settings_file", None)
+    if path is not None:
+        read = settings.read_file(path)
+        if isinstance(read, settings.UnreadableFile):
+            print(f"jaypostd: settings file {path}: {read.reason}", file=sys.stderr)
+            return None
+        environment = {**read, **environment}
     loaded = settings.load(arguments, environment)
     if isinstance(loaded, RefusedSettings):
         for problem in loaded.problems:
@@ -412,9 +514,19 @@
     return loaded
 
 
-def main() -> None:
-    """Run the daemon."""
-    arguments = _parser().parse_args()
+def main(
+    integration: Integration = OWN_INTEGRATION, command_line: Sequence[str] | None = None
+) -> None:
+    """Run the daemon.
+
+    Parameters
+    ----------
+    integration : Integration
+        Forms of the store, callers and targets around the node.
+    command_line : sequence of str, optional
+        Flags; those of the process when it is left out.
+    """
+    arguments = _parser().parse_args(command_line)
     loaded = load_settings(arguments, os.environ)
     if loaded is None:
         sys.exit(EXIT_USAGE)
@@ -425,7 +537,7 @@
     logs.setup(loaded.settings.log_level, observer=events.keep)
     raise_on_violation(loaded.settings.raise_on_violation)
     with contextlib.suppress(KeyboardInterrupt):
-        sys.exit(uvloop.run(_serve(loaded.settings, events)))
+        sys.exit(uvloop.run(_serve(loaded.settings, events, integration, arguments)))
 
 
 if __name__ == "__main__":
--- a/jaypost/egress.py
+++ b/jaypost/egress.py
@@ -27,6 +27,8 @@
     Tick,
 )
 from jaypost.calls import (
+    ARRIVED,
+    CALLER,
     CLASS,
     DEADLINE_MS,
     DEFAULT_TENANT,
@@ -35,15 +37,17 @@
     IDEMPOTENCY_KEY,
     LOAD,
     MAY_QUEUE,
+    PRIORITY,
     REQUEST_ID,
     RETRY,
+    SHED,
     TARGET,
     TENANT,
     CallEnded,
     ErrorAnswer,
     error_answer,
 )
-from jaypost.codecs import RequestHead, ResponseHead
+from jaypost.codecs import HeaderDialect, RequestHead, ResponseHead
 from jaypost.connections import (
     CallServer,
     ConnectionHandlers,
@@ -60,12 +64,11 @@
 
 log = structlog.get_logger(__name__)
 
-LOOPBACK = "127.0.0.1"
 # The timer at the end of the drain delay may be late on a busy host.
 DRAIN_TIMER_SLACK_S = 0.05
 TICK_S = 0.02
 
-_FORWARDED_CONTROL = (HOST, REQUEST_ID, TENANT, RETRY, IDEMPOTENCY_KEY)
+_FORWARDED_CONTROL = (HOST, REQUEST_ID, TENANT, RETRY, IDEMPOTENCY_KEY, CALLER, TARGET)
 
 
 class EgressCall(IncomingCall):
@@ -83,6 +86,7 @@
         "_exchange",
         "_head",
         "_opened_at",
+        "_refused_kind",
         "_responder",
         "_response_status",
         "_row",
@@ -111,6 +115,8 @@
         self._body_done = False
         self._exchange: PooledExchange | None = None
         self._response_status = 0
+        # Set when the target said that it did not execute the request.
+        self._refused_kind: ErrorKind | None = None
         self._timer: asyncio.TimerHandle | None = None
         self._done = False
 
@@ -185,6 +191,7 @@
                 self._deadline,
                 control.get(MAY_QUEUE) == b"1",
                 now,
+                _priority(control.get(PRIORITY)),
             )
         )
 
@@ -232,7 +239,7 @@
         body = b"".join(self._body)
         self._body.clear()
         self._exchange = PooledExchange(
-            Address(LOOPBACK, self._target.port),
+            Address(self._target.host, self._target.port),
             RequestHead(
                 head.method,
                 head.target,
@@ -332,6 +339,12 @@
             self._exchange.cancel()
             self._fail(ErrorKind.OUTCOME_UNKNOWN)
             return
+        if SHED in head.control:
+            self._refused_kind = ErrorKind.TARGET_SHED
+        elif head.status == HTTPStatus.MISDIRECTED_REQUEST:
+            self._refused_kind = ErrorKind.WRONG_TARGET
+        if self._refused_kind is not None:
+            return
         control = {
             REQUEST_ID: request_id,
             LOAD: str(self._egress.admission.load(self._target.target_id)).encode(),
@@ -349,17 +362,23 @@
 
     def target_body(self, data: bytes) -> None:
         """Forward a part of the response."""
-        self._responder.send_body(data)
+        if self._refused_kind is None:
+            self._responder.send_body(data)
 
     def target_end(self) -> None:
         """Complete the response."""
+        if self._refused_kind is not None:
+            self._fail(self._refused_kind)
+            return
         self._responder.send_end()
         self._responder.flush()
         self._end(None, self._response_status, RunState.RAN)
 
     def target_failed(self, failure: CallFailed) -> None:
         """Report the failure, or cut the response that was begun."""
-        if self._response_status:
+        if self._refused_kind is not None:
+            self._fail(self._refused_kind)
+        elif self._response_status:
             responder = self._responder
             self._end(ErrorKind.ANSWER_CUT, self._response_status, RunState.UNKNOWN)
             responder.abort()
@@ -396,13 +415,15 @@
         answer = ANSWER_BY_KIND[kind]
         request_id = self._head.control.get(REQUEST_ID, b"")
         responder = self._responder
+        arrived = self._exchange is not None and self._exchange.reached
         self._end(kind, answer.status, answer.run_state)
         load = None
         if self._target is not None:
             load = self._egress.admission.load(self._target.target_id)
-        responder.send_answer(
-            error_answer(kind, request_id, load=load), head_only=self._head.method == "HEAD"
-        )
+        error = error_answer(kind, request_id, load=load)
+        if arrived:
+            error.head.control[ARRIVED] = b"1"
+        responder.send_answer(error, head_only=self._head.method == "HEAD")
 
     def _end(self, kind: ErrorKind | None, status: int, run_state: RunState) -> None:
         if self._done:
@@ -452,6 +473,10 @@
             long_work.abandoned(self._ticket, service, path)
 
 
+def _priority(value: bytes | None) -> int:
+    return int(value) if value is not None and value.isdigit() else 0
+
+
 @dataclass(frozen=True, slots=True)
 class FleetSlots:
     """Slots of the reachable ready targets of a service, and those of them on earlier hosts.
@@ -511,6 +536,8 @@
         Returns the snapshot in force.
     on_call_ended : callable
         Told the result of each call.
+    dialect : HeaderDialect or None
+        Names of the headers that targets read and write; None for those of jaypost.
     """
 
     def __init__(
@@ -520,6 +547,7 @@
         limits: FleetLimits,
         snapshot: Callable[[], Snapshot],
         on_call_ended: Callable[[CallEnded], None],
+        dialect: HeaderDialect | None = None,
     ) -> None:
         self.settings = settings
         self.admission = admission
@@ -528,7 +556,7 @@
         self.report = on_call_ended
         self.clock = time.monotonic  # the clock of uvloop has a resolution of 1 ms only
         self.long_work = LongWork()
-        self.pool = ConnectionPool(settings)
+        self.pool = ConnectionPool(settings, dialect=dialect)
         self.in_flight = InFlight()
         self.refusing = False
         self.target_by_id: dict[str, Target] = {}
@@ -592,13 +620,17 @@
         known = self.target_by_id.get(target.target_id)
         if target.target_id not in self._drains_at_by_id:
             was_ready = known is not None and known.state is TargetState.READY
-            delay_s = self.settings.drain_delay_s if was_ready else 0.0
+            delay_s = self._target_drain_delay_s() if was_ready else 0.0
             self._drains_at_by_id[target.target_id] = now + delay_s
             self.loop.call_later(delay_s + DRAIN_TIMER_SLACK_S, self._apply_targets)
         if now < self._drains_at_by_id[target.target_id]:
             return replace(target, state=TargetState.READY)
         return target
 
+    def _target_drain_delay_s(self) -> float:
+        """Return how long a draining target still takes calls; half of its bound at most."""
+        return min(self.settings.drain_delay_s, self.settings.drain_bound_ms / 2000)
+
     def may_start(self, target_id: str, now: float) -> bool:
         """Tell whether a call may still start at a target, which may be draining."""
         return now < self._drains_at_by_id.get(target_id, float("inf")) + DRAIN_TIMER_SLACK_S
@@ -610,9 +642,14 @@
         call.begin()
         return call
 
-    async def drain(self) -> bool:
+    async def drain(self, timeout_s: float | None = None) -> bool:
         """Refuse new calls after the drain delay and wait for those in flight.
 
+        Parameters
+        ----------
+        timeout_s : float, optional
+            Time for the calls in flight after the delay; by default the one of the settings.
+
         Returns
         -------
         bool
@@ -620,7 +657,9 @@
         """
         await asyncio.sleep(self.settings.drain_delay_s)
         self.refusing = True
-        return await self._server.drain(self.in_flight, self.settings.drain_timeout_s)
+        if timeout_s is None:
+            timeout_s = self.settings.drain_timeout_s
+        return await self._server.drain(self.in_flight, timeout_s)
 
     async def close(self) -> None:
         """Close all sockets; calls in flight are cancelled."""
--- a/jaypost/errors.py
+++ b/jaypost/errors.py
@@ -33,6 +33,7 @@
     DEADLINE_TOO_SHORT = "deadline_too_short"
     DEADLINE_EXCEEDED = "deadline_exceeded"
     DRAINING = "draining"
+    TARGET_SHED = "target_shed"
     WRONG_TARGET = "wrong_target"
     CONNECT_FAILED = "connect_failed"
     OUTCOME_UNKNOWN = "outcome_unknown"
@@ -83,7 +84,7 @@
         HTTPStatus.BAD_REQUEST, "The deadline header is not a positive number of milliseconds."
     ),
     ErrorKind.UNKNOWN_SERVICE: _not_run(
-        HTTPStatus.NOT_FOUND, "No row of the table names this service."
+        HTTPStatus.NOT_FOUND, "No row of the table matches the request."
     ),
     ErrorKind.NOT_READY: _not_run(
         HTTPStatus.SERVICE_UNAVAILABLE, "The node holds no table version yet.", retryable=True
@@ -112,6 +113,9 @@
     ErrorKind.DRAINING: _not_run(
         HTTPStatus.SERVICE_UNAVAILABLE, "The target is draining.", retryable=True
     ),
+    ErrorKind.TARGET_SHED: _not_run(
+        HTTPStatus.SERVICE_UNAVAILABLE, "The target refused the request unexecuted.", retryable=True
+    ),
     ErrorKind.WRONG_TARGET: _not_run(
         HTTPStatus.MISDIRECTED_REQUEST, "The host does not have this target.", retryable=True
     ),
--- a/jaypost/gossip.py
+++ b/jaypost/gossip.py
@@ -76,7 +76,7 @@
 READER_FALLBACK_JITTER_S = 5.0
 SYNC_JITTER = 0.1
 # One more sync in this many goes to an unreachable node, to find out that it is back.
-UNREACHABLE_SYNC_ONE_IN = 4
+UNREACHABLE_SYNC_ONE_IN = 2
 ACCUSATIONS_PER_SYNC = 4
 # A push to 4 nodes by each node misses about 2% of them, and a push to 6 about 0.25%. Versions are
 # rare, and the nodes that are missed wait for their next sync.
@@ -181,7 +181,9 @@
         self._pushed_version = holder.held_version
         self._notified_changes = view.changes
         self._notify_handle: asyncio.TimerHandle | None = None
+        self._introduced_by_address: dict[Address, Seed] = {}
         self.on_view_changed: Callable[[], None] | None = None
+        self.on_previous_record: Callable[[NodeRecord], None] | None = None
         self.status_problems: Callable[[], tuple[str, ...]] = tuple
 
     # Life cycle
@@ -275,11 +277,22 @@
         if not peers:
             return True
         version = self._holder.held_version
-        deltas = self._holder.deltas_since(version - 1) or ()
+        deltas = self._holder.deltas_since(self._pushed_version) or ()
+        return await self._push_until_held(peers, Push(self._own_id, deltas=deltas), version)
+
+    async def replicate_record(self) -> bool:
+        """Push the own record to two nodes; tell whether one of them acknowledged it."""
+        peers = self._nearest(REPLICAS)
+        return await self._push_until_held(peers, Push(self._own_id, records=(self._view.own,)), 0)
+
+    async def _push_until_held(
+        self, peers: tuple[NodeRecord, ...], push: Push, version: int
+    ) -> bool:
+        """Push to all of `peers`; return at the first that took it and holds `version`."""
         results = asyncio.Queue[bool]()
 
         async def push_to(peer: NodeRecord) -> None:
-            held = await self._push_to(peer, Push(self._own_id, deltas=deltas))
+            held = await self._push_to(peer, push)
             results.put_nowait(held is not None and held >= version)
 
         for peer in peers:
@@ -525,6 +538,7 @@
             self._view.root_hash(),
             self._board.fresh(now) if same_domain else (),
             self._some_accusations(peer.node_id, now),
+            own.control_address,
         )
 
     def _some_accusations(self, node_id: str, now: float) -> tuple[AgedAccusation, ...]:
@@ -681,7 +695,13 @@
     async def join(self) -> JoinOutcome:
         """Get all records and the table from a peer; see `Joiner.run`."""
         joiner = Joiner(
-            self._settings, self._view, self._rng, self._seeds, self._join_at, self._ask_version
+            self._settings,
+            self._view,
+            self._rng,
+            self._seeds,
+            self._join_at,
+            self._ask_version,
+            self._take_introductions,
         )
         outcome = await joiner.run()
         self._joined = True
@@ -703,7 +723,28 @@
                 return Failed(FailureReason.BAD_REPLY, str(error))
         return outcome
 
+    def _introduce(self, request: Sync) -> None:
+        """Take note of a node that knows this one, while this one does not know it.
+
+        A node that was restarted while the store is away finds the others this way.
+        """
+        address = request.control_address
+        if address is None or self._view.get(request.sender) is not None:
+            return
+        seed = Seed(request.failure_domain, address)
+        if self._joined:
+            self._spawn(self._join_at(seed))
+        else:
+            self._introduced_by_address[address] = seed
+
+    def _take_introductions(self) -> tuple[Seed, ...]:
+        seeds = tuple(self._introduced_by_address.values())
+        self._introduced_by_address.clear()
+        return seeds
+
     async def _take_join_reply(self, reply: JoinReply) -> None:
+        if reply.previous is not None and self.on_previous_record is not None:
+            self.on_previous_record(reply.previous)
         for data in reply.pieces:
             piece = unpack(data, RecordPiece)
             self._take_records(piece.records, piece.left_age_by_id, spread=False)
@@ -753,6 +794,7 @@
 
     @_handle.register
     async def _(self, request: Sync) -> SyncReply:
+        self._introduce(request)
         accusation = self._contacted(request.sender)
         self._take_accusations(request.accusations)
         own = self._view.own
@@ -812,6 +854,7 @@
         busy = self._join_server.admit(time.monotonic())
         if busy is not None:
             return busy
+        previous = self._view.get(request.sender)
         self._take_records((request.record,), {}, spread=True)
         same_domain = request.record.failure_domain == self._view.own.failure_domain
         now = time.monotonic()
@@ -822,6 +865,7 @@
             await self._join_server.pieces(now),
             self._view.accusations(now),
             self._board.fresh(now) if same_domain else (),
+            previous,
         )
 
     @_handle.register
--- a/jaypost/joining.py
+++ b/jaypost/joining.py
@@ -154,6 +154,8 @@
         Sends `Join` to a seed and takes over the reply.
     ask_version : callable
         Synchronises with a node and returns the version that it holds, or None.
+    introductions : callable
+        Returns the nodes that have contacted this one since the last call.
     """
 
     def __init__(
@@ -164,7 +166,9 @@
         seeds: SeedDirectory | None,
         join_at: Callable[[Seed], Awaitable[CallOutcome]],
         ask_version: Callable[[NodeRecord], Awaitable[int | None]],
+        introductions: Callable[[], Sequence[Seed]] = tuple,
     ) -> None:
+        self._introductions = introductions
         self._settings = settings
         self._view = view
         self._rng = rng
@@ -183,7 +187,7 @@
         failed_rounds = 0
         while True:
             listed = await self._seeds.read() if self._seeds is not None else ()
-            seeds = self._ordered(listed or ())
+            seeds = self._ordered((*(listed or ()), *self._introductions()))
             attempt = await self._try(seeds)
             if attempt.reply is not None:
                 return await self._complete(attempt.reply)
--- a/jaypost/logs.py
+++ b/jaypost/logs.py
@@ -1,14 +1,14 @@
-"""Logs: one line of key=value pairs on stderr for each event, limited in rate by event name."""
+"""Logs: one line of key=value pairs on stdout for each event, limited in rate by event name."""
 
 from __future__ import annotations
 
 import logging
-import sys
+import os
 import time
 from collections.abc import Callable, Mapping, MutableMapping
 from dataclasses import dataclass
 from enum import StrEnum
-from typing import Any, TextIO
+from typing import Any, TextIO, cast
 
 import structlog
 
@@ -77,6 +77,15 @@
     SPILL_STARTED = "spill_started"
     SPILL_ENDED = "spill_ended"
     ANNOUNCEMENT_REFUSED = "announcement_refused"
+    ANNOUNCEMENT_LATE = "announcement_late"
+    DEPARTURE_KEPT = "departure_kept"
+    DEPARTURE_NOT_KEPT = "departure_not_kept"
+    DEPARTURES_ADOPTED = "departures_adopted"
+    SETTINGS_RELOADED = "settings_reloaded"
+    SETTINGS_SIGNALLED = "settings_signalled"
+    SETTINGS_REFUSED = "settings_refused"
+    CALL_ENDED = "call_ended"
+    RETRY_DECIDED = "retry_decided"
     ANNOUNCEMENT_TIMER_LATE = "announcement_timer_late"
     ADMIN_REQUEST_FAILED = "admin_request_failed"
     INVARIANT_VIOLATED = "invariant_violated"
@@ -209,6 +218,35 @@
         return event
 
 
+class UnblockedOutput:
+    """Standard output that drops lines while its reader does not take them.
+
+    Attributes
+    ----------
+    dropped : int
+        Lines dropped so far.
+    """
+
+    def __init__(self, descriptor: int = 1) -> None:
+        self._descriptor = descriptor
+        self.dropped = 0
+        os.set_blocking(descriptor, False)
+
+    def write(self, text: str) -> int:
+        """Write a line, or drop it."""
+        data = text.encode("utf-8", "backslashreplace")
+        try:
+            written = os.write(self._descriptor, data)
+        except OSError:  # the pipe is full, or its reader is gone
+            written = 0
+        if written < len(data):
+            self.dropped += 1
+        return len(text)
+
+    def flush(self) -> None:
+        """Do nothing: every line is written at once."""
+
+
 class LibraryHandler(logging.Handler):
     """Passes messages that libraries log by the standard module on as `library_message`."""
 
@@ -240,7 +278,7 @@
     level : str
         Lowest level logged: debug, info, warning or error.
     stream : TextIO, optional
-        Where lines are written, default stderr.
+        Where lines are written; by default stdout, without ever waiting for its reader.
     limiter : RateLimiter, optional
         Rate limiter to use in place of a new one.
     observer : callable, optional
@@ -264,7 +302,7 @@
             ),
         ],
         wrapper_class=structlog.make_filtering_bound_logger(min(lowest, logging.INFO)),
-        logger_factory=structlog.WriteLoggerFactory(stream or sys.stderr),
+        logger_factory=structlog.WriteLoggerFactory(stream or cast(TextIO, UnblockedOutput())),
         cache_logger_on_first_use=False,
     )
     logging.basicConfig(level=max(lowest, logging.WARNING), handlers=[LibraryHandler()], force=True)
--- a/jaypost/messages.py
+++ b/jaypost/messages.py
@@ -46,7 +46,10 @@
 
 @dataclass(frozen=True, slots=True)
 class Sync:
-    """Compare the state of two nodes; also the probe of the failure detector."""
+    """Compare the state of two nodes; also the probe of the failure detector.
+
+    A receiver that does not know the sender joins at `control_address`.
+    """
 
     sender: str
     failure_domain: str
@@ -54,6 +57,7 @@
     root_hash: int
     beacons: tuple[Beacon, ...] = ()
     accusations: tuple[AgedAccusation, ...] = ()
+    control_address: Address | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -201,6 +205,8 @@
         Accusations known to the receiver.
     beacons : tuple of Beacon
         Beacons known to the receiver, if it is in the same failure domain.
+    previous : NodeRecord or None
+        Record that the joining node had before, as the receiver knew it.
     """
 
     node_id: str
@@ -209,6 +215,7 @@
     pieces: tuple[bytes, ...] = ()
     accusations: tuple[AgedAccusation, ...] = ()
     beacons: tuple[Beacon, ...] = ()
+    previous: NodeRecord | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/jaypost/placement.py
+++ b/jaypost/placement.py
@@ -219,20 +219,21 @@
         self._load_by_id: dict[str, _TargetLoad] = {}
         self._state_by_service: dict[str, _ServiceState] = {}
 
-    def destination(
-        self, destinations: tuple[Destination, ...], snapshot_targets: Mapping[str, object]
-    ) -> str | None:
-        """Return the destination service of a new request, by weight."""
-        usable = [item for item in destinations if snapshot_targets.get(item.service)]
-        total = sum(item.weight for item in usable)
+    def destination(self, destinations: tuple[Destination, ...]) -> str | None:
+        """Return the destination service of a new request, by weight.
+
+        A destination without targets keeps its share, which is refused: the others are not sized
+        for it.
+        """
+        total = sum(item.weight for item in destinations)
         if not total:
             return None
         point = self._rng.uniform(0, total)
-        for item in usable:
+        for item in destinations:
             point -= item.weight
             if point < 0:
                 return item.service
-        return next(item.service for item in reversed(usable) if item.weight)
+        return next(item.service for item in reversed(destinations) if item.weight)
 
     def choose(self, question: ChooseTarget) -> Chosen | NoTarget:
         """Return the target of the next attempt."""
--- a/jaypost/pools.py
+++ b/jaypost/pools.py
@@ -12,11 +12,13 @@
 
 import structlog
 
-from jaypost.calls import HOST
+from jaypost.calls import HOST, REQUEST_ID
 from jaypost.codecs import (
     BodyChunk,
     ContinueReceived,
     Event,
+    HeaderDialect,
+    MessageEnd,
     ProtocolFault,
     RequestHead,
     ResponseHead,
@@ -32,6 +34,8 @@
 IDLE_EXPIRY_S = 30.0
 PROBE_TIMEOUT_S = 1.0
 STREAM_BUFFER_BYTES = 65_536
+# A second response to one of the last requests of a connection is recognised by its identifier.
+REMEMBERED_IDS = 8
 
 
 @dataclass(frozen=True, slots=True)
@@ -222,12 +226,14 @@
     """
 
     __slots__ = (
+        "_answered_ids",
         "_codec",
         "_exchange",
         "_group",
         "_head_received",
         "_paused",
         "_pool",
+        "_skipping",
         "_transport",
         "idle_since",
         "last_received",
@@ -236,10 +242,14 @@
     def __init__(self, pool: ConnectionPool, group: _Group) -> None:
         self._pool = pool
         self._group = group
-        self._codec = client_codec(pool.settings.http_codec, pool.settings.header_limit_bytes)
+        self._codec = client_codec(
+            pool.settings.http_codec, pool.settings.header_limit_bytes, pool.dialect
+        )
         self._transport: asyncio.Transport | None = None
         self._exchange: PooledExchange | None = None
+        self._answered_ids: deque[bytes] = deque(maxlen=REMEMBERED_IDS)
         self._head_received = False
+        self._skipping = False
         self._paused = False
         self.idle_since = 0.0
         self.last_received = 0.0
@@ -330,6 +340,46 @@
     # response
 
     def _dispatch_all(self, exchange: PooledExchange, events: list[Event]) -> None:
+        receiver = exchange.receiver
+        while events:
+            events = self._skip_foreign(exchange, events)
+            if not events:
+                if not self._skipping and self._codec.message_done and self._exchange is exchange:
+                    self._codec.next_message()
+                    events = self._codec.receive(b"")
+                    continue
+                return
+            self._deliver(exchange, events)
+            break
+        receiver.on_batch_end()
+
+    def _skip_foreign(self, exchange: PooledExchange, events: list[Event]) -> list[Event]:
+        """Drop a second response to an earlier request of the connection.
+
+        The response that belongs to the request in progress follows it.
+        """
+        expected = exchange.head.control.get(REQUEST_ID)
+        first = events[0]
+        if isinstance(first, ResponseHead) and not self._head_received and expected is not None:
+            received = first.control.get(REQUEST_ID)
+            self._skipping = received != expected and received in self._answered_ids
+            if self._skipping:
+                log.warning(
+                    "crossed_response",
+                    address=str(self._group.address),
+                    request_id=expected,
+                    got=received,
+                )
+        if not self._skipping:
+            return events
+        if isinstance(events[-1], ProtocolFault):
+            self._skipping = False
+            return events[-1:]
+        if isinstance(events[-1], MessageEnd):
+            self._skipping = False
+        return []
+
+    def _deliver(self, exchange: PooledExchange, events: list[Event]) -> None:
         receiver = exchange.receiver
         for event in events:
             kind = type(event)
@@ -348,7 +398,6 @@
                 break
             if self._exchange is not exchange:
                 break  # cancelled by the receiver
-        receiver.on_batch_end()
 
     def _refuse(self, fault: ProtocolFault) -> None:
         log.warning("bad_response", address=str(self._group.address), reason=fault.reason)
@@ -356,8 +405,10 @@
 
     def _complete(self, exchange: PooledExchange) -> None:
         self._exchange = None
+        self._answered_ids.append(exchange.head.control.get(REQUEST_ID, b""))
         exchange.connection = None
-        reusable = exchange.complete and not self._codec.surplus and not self._codec.closing
+        clean = not self._codec.surplus and not self._codec.following
+        reusable = exchange.complete and clean and not self._codec.closing
         if not reusable or not self.usable:
             self.discard()
             return
@@ -408,6 +459,8 @@
         Whether idle connections are probed. The other side must answer ``OPTIONS *``.
     on_silent : callable, optional
         Told the address of a peer whose connections were closed because they were silent.
+    dialect : HeaderDialect, optional
+        Names of the headers on the connections; those of jaypost when it is left out.
     """
 
     def __init__(
@@ -415,8 +468,10 @@
         settings: Settings,
         probe: bool = False,
         on_silent: Callable[[Address], None] | None = None,
+        dialect: HeaderDialect | None = None,
     ) -> None:
         self.settings = settings
+        self.dialect = dialect
         self._probe = probe
         self._on_silent = on_silent
         self._group_by_address: dict[Address, _Group] = {}
--- a/jaypost/readers.py
+++ b/jaypost/readers.py
@@ -12,7 +12,7 @@
 
 from jaypost import invariants, layout, table
 from jaypost.config import ConfigHolder, OfferDeltas, OfferTable
-from jaypost.records import Head
+from jaypost.records import Head, Table
 from jaypost.settings import Settings
 from jaypost.store import Found, Store, StoreFailed
 
@@ -50,6 +50,25 @@
 ReadOutcome = ReadHead | NothingNew | ReadFailed
 
 
+@dataclass(frozen=True, slots=True)
+class TableSource:
+    """Where the newest table version lies and in which form.
+
+    Parameters
+    ----------
+    key : str
+        Key in the store.
+    decode : callable
+        Returns the head record or the whole version in a value.
+    """
+
+    key: str
+    decode: Callable[[bytes], Head | Table | table.Undecodable]
+
+
+HEAD_SOURCE = TableSource(layout.HEAD_KEY, layout.decode_head)
+
+
 class TableReader:
     """Reads new table versions from the store while the node is a reader.
 
@@ -65,6 +84,8 @@
         Tells whether this node reads for its failure domain.
     settings : Settings
         Settings of the node.
+    source : TableSource
+        Where the newest version lies.
     rng : random.Random
         Source of the jitter.
     sleep : Callable[[float], Awaitable[None]]
@@ -88,6 +109,7 @@
         is_reader: Callable[[], bool],
         settings: Settings,
         *,
+        source: TableSource = HEAD_SOURCE,
         rng: random.Random | None = None,
         sleep: Callable[[float], Awaitable[None]] = asyncio.sleep,
         clock: Callable[[], float] = time.monotonic,
@@ -97,6 +119,7 @@
         self._replicate = replicate
         self._is_reader = is_reader
         self._settings = settings
+        self._source = source
         self._rng = rng or random.Random()
         self._sleep = sleep
         self._clock = clock
@@ -203,7 +226,7 @@
         if self._retry_at is not None and self._clock() >= self._retry_at:
             self._retry_at = None
             self._revision = 0
-        found = await self._store.watch(layout.HEAD_KEY, self._revision, wait_s)
+        found = await self._store.watch(self._source.key, self._revision, wait_s)
         if isinstance(found, StoreFailed):
             return ReadFailed(found.reason)
         self.last_contact = self._clock()
@@ -219,10 +242,14 @@
     async def _take(self, found: Found) -> ReadOutcome:
         if found.revision <= self._revision:
             return NothingNew()
-        head = layout.decode_head(found.value)
+        head = self._source.decode(found.value)
         if isinstance(head, table.Undecodable):
-            return self._refuse(found.revision, f"{layout.HEAD_KEY} is damaged: {head.reason}")
-        failure = await self._offer(head)
+            return self._refuse(found.revision, f"{self._source.key} is damaged: {head.reason}")
+        failure: StoreFailed | None = None
+        if isinstance(head, Table):
+            self._offer_whole(head)
+        else:
+            failure = await self._offer(head)
         self._taken_version = self._holder.held_version
         if isinstance(failure, layout.Damaged):
             return self._refuse(found.revision, failure.reason)
@@ -239,6 +266,16 @@
         self._retry_at = self._clock() + DAMAGED_RETRY_S
         return ReadFailed(reason)
 
+    def _offer_whole(self, whole: Table) -> None:
+        """Offer a version as the change from the held one, which is what other nodes need."""
+        held = self._holder.held_table
+        if whole.version < held.version:
+            log.warning("store_behind", head=whole.version, held=held.version)
+        if whole.version > held.version:
+            at_ms = time.time_ns() // 1_000_000
+            delta = table.delta_between(held, whole, self._source.key, at_ms)
+            self._holder.offer(OfferDeltas((delta,)), activate=False)
+
     async def _offer(self, head: Head) -> StoreFailed | None:
         """Offer the version of `head`, by its deltas or else by its snapshot."""
         if head.version < self._holder.held_version:
--- a/jaypost/records.py
+++ b/jaypost/records.py
@@ -2,10 +2,12 @@
 
 from __future__ import annotations
 
-from collections.abc import Mapping
+from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, field
 from enum import StrEnum
 
+LOOPBACK = "127.0.0.1"
+
 
 @dataclass(frozen=True, slots=True)
 class Address:
@@ -52,12 +54,17 @@
 
 @dataclass(frozen=True, slots=True)
 class Row:
-    """One row of the operators' table: the behaviour of one service.
+    """One row of the operators' table: the behaviour of one service or of one route to services.
 
     Parameters
     ----------
     service : str
-        Name of the service.
+        Name of the row: a service, or a route that only names other services as destinations.
+    host : str
+        Value of the ``Host`` header that the row serves; empty means the name of the row.
+    path_prefix : str
+        Paths that the row serves, with a slash at both ends. The longest prefix of a host wins.
+        Empty means that requests reach the row only as a destination of other rows.
     destinations : tuple of Destination
         Services that receive the requests; empty means the service itself.
     rate_limit : float
@@ -87,9 +94,15 @@
         Shares of the tenants in a queue; a tenant that is not listed has share 1.
     spill : Spill
         How far requests may leave the failure domain.
+    priority : int
+        Rank in the queue of a target; 0 goes first.
+    target_latency_ms : int
+        Time in milliseconds within which an answer is worth most; 0 means the deadline.
     """
 
     service: str
+    host: str = ""
+    path_prefix: str = "/"
     destinations: tuple[Destination, ...] = ()
     rate_limit: float = 0.0
     concurrency_limit: int = 0
@@ -104,6 +117,8 @@
     short_reserve: float = 0.25
     tenant_shares: tuple[TenantShare, ...] = ()
     spill: Spill = Spill.ANY
+    priority: int = 0
+    target_latency_ms: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -125,7 +140,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Delta:
-    """The change from version ``version - 1`` to `version`.
+    """The change from one version to a later one.
 
     Parameters
     ----------
@@ -143,6 +158,8 @@
         Rows that change.
     digest : str
         Digest of the whole table after the change.
+    base : int or None
+        Version that the change starts from; None means ``version - 1``.
     """
 
     version: int
@@ -152,6 +169,12 @@
     comment: str
     rows: tuple[RowChange, ...]
     digest: str
+    base: int | None = None
+
+    @property
+    def base_version(self) -> int:
+        """Version that the change starts from."""
+        return self.version - 1 if self.base is None else self.base
 
 
 @dataclass(frozen=True, slots=True)
@@ -207,6 +230,10 @@
         Requests that the target executes at the same time.
     state : TargetState
         Announced state.
+    incarnation : int
+        Start time of the target in milliseconds since 1970; 0 when it did not tell.
+    host : str
+        Address on which the node of the host reaches the target.
     """
 
     target_id: str
@@ -214,6 +241,8 @@
     port: int
     slots: int
     state: TargetState
+    incarnation: int = 0
+    host: str = LOOPBACK
 
 
 @dataclass(frozen=True, slots=True)
@@ -263,6 +292,39 @@
     reachable: bool = True
 
 
+class RouteIndex:
+    """Rows by host and path prefix.
+
+    Parameters
+    ----------
+    rows : iterable of Row
+        Rows of one table version.
+    """
+
+    __slots__ = ("_row_by_prefix_by_host",)
+
+    def __init__(self, rows: Iterable[Row] = ()) -> None:
+        self._row_by_prefix_by_host: dict[str, dict[str, Row]] = {}
+        for row in rows:
+            if row.path_prefix:
+                row_by_prefix = self._row_by_prefix_by_host.setdefault(row.host or row.service, {})
+                row_by_prefix[row.path_prefix] = row
+
+    def find(self, host: str, path: str) -> Row | None:
+        """Return the row of `host` with the longest prefix that begins `path`."""
+        row_by_prefix = self._row_by_prefix_by_host.get(host)
+        if row_by_prefix is None:
+            return None
+        prefix = path.partition("?")[0]
+        while prefix:
+            prefix = prefix[: prefix.rfind("/") + 1]
+            row = row_by_prefix.get(prefix)
+            if row is not None:
+                return row
+            prefix = prefix[:-1]
+        return None
+
+
 @dataclass(frozen=True, slots=True)
 class Snapshot:
     """The configuration that requests use: one table version joined with the known targets.
@@ -279,6 +341,8 @@
         Destinations of the row that have no known target yet.
     targets_by_service : Mapping[str, tuple of PlacedTarget]
         Known targets.
+    routes : RouteIndex
+        Rows of that version by the requests that they serve.
     """
 
     version: int = 0
@@ -286,6 +350,7 @@
     destinations_by_service: Mapping[str, tuple[Destination, ...]] = field(default_factory=dict)
     pending_by_service: Mapping[str, tuple[str, ...]] = field(default_factory=dict)
     targets_by_service: Mapping[str, tuple[PlacedTarget, ...]] = field(default_factory=dict)
+    routes: RouteIndex = field(default_factory=RouteIndex)
 
 
 @dataclass(frozen=True, slots=True)
--- /dev/null
+++ b/jaypost/reloading.py
@@ -0,0 +1,121 @@
+"""Follows the settings file, whose changes come with or without a signal."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable, Mapping
+from dataclasses import fields
+
+import structlog
+
+from jaypost.logs import EventName
+from jaypost.settings import (
+    LoadedSettings,
+    RefusedSettings,
+    Settings,
+    UnreadableFile,
+    read_file,
+)
+
+log = structlog.get_logger(__name__)
+
+# Interval in seconds at which the file is read again when no signal comes.
+POLL_S = 1.0
+# Settings that are read at each use; the others take effect at the next start.
+LIVE_SETTINGS = frozenset(
+    {
+        "announcement_interval_ms",
+        "announcement_timeout_s",
+        "drain_bound_ms",
+        "drain_delay_s",
+        "drain_timeout_s",
+        "grace_s",
+        "service",
+    }
+)
+
+
+class SettingsFollower:
+    """Task that reads the settings file again and applies what has changed.
+
+    Parameters
+    ----------
+    path : str
+        Settings file.
+    current : Settings
+        Settings in use.
+    load : callable
+        Checks the content of the file together with flags and environment.
+    apply : callable
+        Takes new settings into use.
+    """
+
+    def __init__(
+        self,
+        path: str,
+        current: Settings,
+        load: Callable[[Mapping[str, str]], LoadedSettings | RefusedSettings],
+        apply: Callable[[Settings], None],
+    ) -> None:
+        self._path = path
+        self._current = current
+        self._load = load
+        self._apply = apply
+        self._content = read_file(path)
+        self._signalled = asyncio.Event()
+        self._task: asyncio.Task[None] | None = None
+
+    def start(self) -> None:
+        """Start the task."""
+        self._task = asyncio.create_task(self._run(), name="settings-follower")
+
+    async def close(self) -> None:
+        """Stop the task."""
+        task, self._task = self._task, None
+        if task is not None:
+            task.cancel()
+            await asyncio.gather(task, return_exceptions=True)
+
+    def signalled(self) -> None:
+        """Read the file at once, because a signal said that it has changed."""
+        self._signalled.set()
+
+    async def _run(self) -> None:
+        while True:
+            try:
+                async with asyncio.timeout(POLL_S):
+                    await self._signalled.wait()
+                log.info(EventName.SETTINGS_SIGNALLED, path=self._path)
+            except TimeoutError:
+                pass
+            self._signalled.clear()
+            self.check()
+
+    def check(self) -> None:
+        """Read the file and apply it if it has changed."""
+        content = read_file(self._path)
+        if content == self._content:
+            return
+        self._content = content
+        if isinstance(content, UnreadableFile):
+            log.error(EventName.SETTINGS_REFUSED, path=self._path, reason=content.reason)
+            return
+        loaded = self._load(content)
+        if isinstance(loaded, RefusedSettings):
+            reasons = [f"{item.name}: {item.reason}" for item in loaded.problems]
+            log.error(EventName.SETTINGS_REFUSED, path=self._path, reason=reasons)
+            return
+        self._take(loaded.settings)
+
+    def _take(self, new: Settings) -> None:
+        old, self._current = self._current, new
+        changed = {
+            item.name for item in fields(new) if getattr(old, item.name) != getattr(new, item.name)
+        }
+        self._apply(new)
+        log.info(
+            EventName.SETTINGS_RELOADED,
+            path=self._path,
+            applied=sorted(changed & LIVE_SETTINGS),
+            at_next_start=sorted(changed - LIVE_SETTINGS),
+        )
--- a/jaypost/retries.py
+++ b/jaypost/retries.py
@@ -9,9 +9,11 @@
 from jaypost.records import Row
 
 INITIAL_TOKENS = 1.0
-# Retries saved up in quiet times come on top of the budget when every target starts to fail:
-# 10 of them add at most 0.1 to the amplification over 100 requests.
-MAX_TOKENS = 10.0
+# Retries saved up in quiet times come on top of the budget when every target starts to fail. Each
+# node may save up this many, so that the sum over a fleet stays small.
+MAX_TOKENS = 3.0
+# Refusals by nodes that a request may meet before it queues.
+MAX_HAND_OVERS = 2
 BACKOFF_S = 0.01
 BACKOFF_MAX_S = 0.1
 # Failures after which a repeatable request may have run; every other kind is either not run or
@@ -49,6 +51,10 @@
         Monotonic time in seconds.
     earlier_reached : bool
         Whether a byte of an earlier attempt may have reached the application of a target.
+    arrivals : int
+        Attempts that arrived at a target, also those that it refused unexecuted.
+    hand_overs : int
+        Attempts that no target has seen.
     """
 
     row: Row
@@ -63,6 +69,8 @@
     remaining_s: float
     now: float
     earlier_reached: bool = False
+    arrivals: int = 0
+    hand_overs: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -80,6 +88,14 @@
     final: bool
 
 
+def hand_over_limit(row: Row) -> int:
+    """Return how often a request may go on to another node after one refused it unexecuted.
+
+    Such an attempt reaches no target and costs no retry.
+    """
+    return MAX_HAND_OVERS if row.retry_limit else 0
+
+
 class RetryPolicy:
     """Retry rules and the budget of each service.
 
@@ -106,7 +122,8 @@
         delay_s = 0.0 if not_run else self._delay(failure.attempt)
         if failure.remaining_s <= delay_s:
             return GiveUp(failure.kind, final=True)
-        if not not_run and not self._charge(failure.row):
+        repeats = not not_run or failure.arrivals > 0
+        if repeats and not self._charge(failure.row):
             return GiveUp(failure.kind, final=True)
         return Retry(delay_s)
 
@@ -129,7 +146,11 @@
 
     @staticmethod
     def _may_repeat(failure: AttemptFailed, not_run: bool) -> bool:
-        if failure.final or not failure.body_kept or failure.attempt > failure.row.retry_limit:
+        if failure.final or not failure.body_kept:
+            return False
+        if failure.arrivals > failure.row.retry_limit:
+            return False
+        if failure.hand_overs > hand_over_limit(failure.row):
             return False
         repeatable = failure.method in failure.row.repeatable_methods
         if not_run:
--- a/jaypost/settings.py
+++ b/jaypost/settings.py
@@ -67,6 +67,14 @@
     slow_body_bytes_per_s: int
     claim_rate: float
     label_limit: int
+    service: str
+    listen_targets: Address | None
+    listen_ready: Address | None
+    announcement_interval_ms: int
+    drain_bound_ms: int
+    grace_s: float
+    retry_ratio: float
+    lease_min_ms: int
     log_level: str
     raise_on_violation: bool
 
@@ -120,6 +128,10 @@
     return text
 
 
+def _optional_name(text: str) -> str:
+    return _name(text) if text else ""
+
+
 def _choice(*values: str) -> Callable[[str], str]:
     def parse(text: str) -> str:
         if text not in values:
@@ -210,6 +222,32 @@
     "slow_body_bytes_per_s": Setting("1000", _number(int, 0, 1 << 20), "lowest rate of a body"),
     "claim_rate": Setting("2", _number(float, 0, 200), "claims of idempotency keys per second"),
     "label_limit": Setting("64", _number(int, 1, 1000), "values of a metric label"),
+    "service": Setting(
+        "", _optional_name, "service of the host's own target, told to targets as the caller"
+    ),
+    "listen_targets": Setting(
+        "", _optional_address, "further address of the admin port, for announcements of targets"
+    ),
+    "listen_ready": Setting(
+        "", _optional_address, "further address of the admin port, for readiness checks"
+    ),
+    "announcement_interval_ms": Setting(
+        "2000", _number(int, 10, 600_000), "interval at which targets announce themselves"
+    ),
+    "drain_bound_ms": Setting(
+        "5000",
+        _number(int, 100, 600_000),
+        "time after the answer to a draining target by which no call may reach it",
+    ),
+    "grace_s": Setting(
+        "66", _number(float, 0.1, 3600), "time from SIGTERM to the end of the process"
+    ),
+    "retry_ratio": Setting(
+        "0.2",
+        _number(float, 0, 1),
+        "repeated calls that the targets of a service accept, as a fraction of its calls",
+    ),
+    "lease_min_ms": Setting("1000", _number(int, 1, 600_000), "shortest lease of the store"),
     "log_level": Setting(
         "info", _choice("debug", "info", "warning", "error"), "lowest level logged"
     ),
@@ -223,6 +261,36 @@
 }
 
 
+@dataclass(frozen=True, slots=True)
+class UnreadableFile:
+    """Why a settings file cannot be used."""
+
+    path: str
+    reason: str
+
+
+def read_file(path: str) -> Mapping[str, str] | UnreadableFile:
+    """Read a settings file: lines ``JAYPOST_NAME=value``, empty lines and ``#`` comments.
+
+    The result is used like environment variables. Variables that are no settings are ignored.
+    """
+    try:
+        with open(path, encoding="utf-8") as file:
+            lines = file.read().splitlines()
+    except (OSError, UnicodeDecodeError) as error:
+        return UnreadableFile(path, str(error))
+    value_by_variable = {}
+    for number, line in enumerate(lines, start=1):
+        text = line.strip()
+        if not text or text.startswith("#"):
+            continue
+        variable, separator, value = text.partition("=")
+        if not separator:
+            return UnreadableFile(path, f"line {number} is not NAME=value")
+        value_by_variable[variable.strip()] = value.strip()
+    return value_by_variable
+
+
 def add_flags(parser: argparse.ArgumentParser) -> None:
     """Add one flag for each setting."""
     for name, setting in SETTING_BY_NAME.items():
--- /dev/null
+++ b/jaypost/store_connections.py
@@ -0,0 +1,248 @@
+"""HTTP connections of a store client: pooling, timeouts, and what is known of a failed call."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from urllib.parse import urlencode
+
+import h11
+import msgspec
+
+from jaypost.records import Address
+from jaypost.store import Effect, StoreCallEnded, StoreFailed
+
+# 200 connections at once overflowed the listen queue of the store, and some took 1 s to open.
+# A watch has a connection of its own on top.
+MAX_CONNECTIONS = 16
+# A listing of 7,000 small values fits; a larger body is a fault of the store.
+MAX_BODY_BYTES = 32 << 20
+READ_BYTES = 64 << 10
+REVISION_HEADER = b"x-revision"
+
+
+@dataclass(frozen=True, slots=True)
+class StoreResponse:
+    """Status, revision header and body of a response."""
+
+    status: int
+    revision: int | None
+    body: bytes
+
+
+# What a call can meet on the network or in a malformed response.
+_CALL_ERRORS = (OSError, TimeoutError, h11.ProtocolError, msgspec.DecodeError, ValueError)
+
+
+@dataclass(slots=True, eq=False)
+class _Connection:
+    reader: asyncio.StreamReader
+    writer: asyncio.StreamWriter
+    protocol: h11.Connection
+    bytes_written: int = 0
+    bytes_read: int = 0
+
+    def reusable(self) -> bool:
+        return (
+            self.protocol.our_state is h11.DONE
+            and self.protocol.their_state is h11.DONE
+            and not self.protocol.trailing_data[0]
+            and not self.lost()
+        )
+
+    def lost(self) -> bool:
+        return self.reader.at_eof() or self.writer.is_closing()
+
+
+@dataclass(slots=True)
+class StoreCall:
+    """A request to the store and whether any of its bytes may have been sent."""
+
+    method: str
+    path: str
+    parameters: dict[str, str] = field(default_factory=dict)
+    body: bytes = b""
+    wait_s: float = 0.0
+    sent: bool = False
+
+    @property
+    def writes(self) -> bool:
+        """Whether the call may change the store."""
+        return self.method != "GET"
+
+    @property
+    def target(self) -> str:
+        """Path and query."""
+        query = urlencode(self.parameters)
+        return f"{self.path}?{query}" if query else self.path
+
+    def failed(self, reason: str, applied: bool | None = None) -> StoreFailed:
+        """Return the outcome of a call that failed; `applied` tells what is known of its effect."""
+        unknown = self.writes and (self.sent if applied is None else applied)
+        return StoreFailed(reason, Effect.UNKNOWN if unknown else Effect.NONE)
+
+
+class StoreConnections:
+    """Pooled HTTP/1.1 connections to the store, on which a client builds its calls.
+
+    Parameters
+    ----------
+    address : Address
+        Address of the store.
+    timeout_s : float
+        Time for one call in seconds, on top of the time that a watch waits.
+    on_call_ended : Callable[[StoreCallEnded], None] or None
+        Told the result of each call, for metrics.
+    """
+
+    def __init__(
+        self,
+        address: Address,
+        timeout_s: float,
+        on_call_ended: Callable[[StoreCallEnded], None] | None = None,
+    ) -> None:
+        self._address = address
+        self._timeout_s = timeout_s
+        self._on_call_ended = on_call_ended
+        self._idle: list[_Connection] = []
+        self._busy: set[_Connection] = set()
+        self._running = False
+        self._slots = asyncio.Semaphore(MAX_CONNECTIONS)
+        self.sent_bytes = 0
+        self.received_bytes = 0
+
+    async def start(self) -> None:
+        """Allow calls; connections are opened when they are needed."""
+        self._running = True
+
+    async def close(self) -> None:
+        """Close all connections; calls in progress and later ones fail."""
+        self._running = False
+        connections = [*self._idle, *self._busy]
+        self._idle.clear()
+        for connection in connections:
+            connection.writer.close()
+        await asyncio.gather(
+            *(connection.writer.wait_closed() for connection in connections),
+            return_exceptions=True,
+        )
+
+    async def send(self, call: StoreCall) -> StoreResponse | StoreFailed:
+        """Send a call and return the response, or why there is none."""
+        started = time.monotonic()
+        response = await self._try(call)
+        if self._on_call_ended is not None:
+            status = 0 if isinstance(response, StoreFailed) else response.status
+            operation = "watch" if call.wait_s else call.method.lower()
+            seconds = time.monotonic() - started
+            self._on_call_ended(StoreCallEnded(operation, status, seconds))
+        return response
+
+    async def _try(self, call: StoreCall) -> StoreResponse | StoreFailed:
+        if not self._running:
+            return call.failed("client is closed")
+        try:
+            async with asyncio.timeout(self._timeout_s + call.wait_s):
+                if call.wait_s:
+                    return await self._exchange(call)
+                async with self._slots:
+                    return await self._exchange(call)
+        except TimeoutError:
+            # Pooled connections of a silent path are all silent; new ones may work.
+            self._close_idle()
+            return call.failed("timed out")
+        except _CALL_ERRORS as error:
+            return call.failed(f"{type(error).__name__}: {error}")
+
+    async def _exchange(self, call: StoreCall) -> StoreResponse:
+        connection = self._take_idle() or await self._connect()
+        self._busy.add(connection)
+        try:
+            await self._write_request(connection, call)
+            response = await self._read_response(connection)
+        except BaseException:
+            connection.writer.close()
+            raise
+        finally:
+            self._busy.discard(connection)
+        self._give_back(connection)
+        return response
+
+    async def _connect(self) -> _Connection:
+        reader, writer = await asyncio.open_connection(self._address.host, self._address.port)
+        return _Connection(reader, writer, h11.Connection(h11.CLIENT))
+
+    def _take_idle(self) -> _Connection | None:
+        while self._idle:
+            connection = self._idle.pop()
+            if not connection.lost():
+                return connection
+            connection.writer.close()
+        return None
+
+    def _close_idle(self) -> None:
+        for connection in self._idle:
+            connection.writer.close()
+        self._idle.clear()
+
+    def _give_back(self, connection: _Connection) -> None:
+        if self._running and connection.reusable() and len(self._idle) < MAX_CONNECTIONS:
+            connection.protocol.start_next_cycle()
+            self._idle.append(connection)
+        else:
+            connection.writer.close()
+
+    async def _write_request(self, connection: _Connection, call: StoreCall) -> None:
+        head = h11.Request(
+            method=call.method,
+            target=call.target,
+            headers=[("host", str(self._address)), ("content-length", str(len(call.body)))],
+        )
+        protocol = connection.protocol
+        data = protocol.send(head) or b""
+        if call.body:
+            data += protocol.send(h11.Data(data=call.body)) or b""
+        data += protocol.send(h11.EndOfMessage()) or b""
+        # The transport may send from here on, also when the drain fails.
+        call.sent = True
+        connection.writer.write(data)
+        self.sent_bytes += len(data)
+        await connection.writer.drain()
+
+    async def _read_response(self, connection: _Connection) -> StoreResponse:
+        head: h11.Response | None = None
+        body = bytearray()
+        while True:
+            event = connection.protocol.next_event()
+            if event is h11.NEED_DATA:
+                data = await connection.reader.read(READ_BYTES)
+                if not data and head is None:
+                    raise ConnectionError("store closed the connection")
+                self.received_bytes += len(data)
+                connection.protocol.receive_data(data)
+            elif isinstance(event, h11.Response):
+                head = event
+            elif isinstance(event, h11.Data):
+                body += event.data
+                if len(body) > MAX_BODY_BYTES:
+                    raise ValueError("response body is too large")
+            elif isinstance(event, h11.EndOfMessage) and head is not None:
+                return StoreResponse(head.status_code, _revision(head), bytes(body))
+            elif not isinstance(event, h11.InformationalResponse):
+                raise ConnectionError("store answered out of turn")
+
+
+def _revision(response: h11.Response) -> int | None:
+    for name, value in response.headers:
+        if name == REVISION_HEADER:
+            return int(value)
+    return None
+
+
+def unexpected(call: StoreCall, response: StoreResponse) -> StoreFailed:
+    """Return the outcome of a call whose status it does not provide for."""
+    # A server error may follow the write; a client error means that the store refused the call.
+    refused = 400 <= response.status < 500
+    return call.failed(f"unexpected status {response.status}", applied=not refused)
--- a/jaypost/table.py
+++ b/jaypost/table.py
@@ -18,6 +18,7 @@
 T = TypeVar("T")
 
 SERVICE_PATTERN = re.compile(r"[a-z0-9][a-z0-9._-]{0,63}")
+HOST_PATTERN = re.compile(r"[a-z0-9][a-z0-9._-]{0,252}")
 TENANT_PATTERN = re.compile(r"[A-Za-z0-9][A-Za-z0-9._-]{0,63}")
 METHOD_PATTERN = re.compile(r"[A-Z]{1,16}")
 MAX_LIST_LENGTH = 256
@@ -36,6 +37,8 @@
     "retry_budget": (0, 1),
     "hedge_ms": (0, 3_600_000),
     "short_reserve": (0, 1),
+    "priority": (0, 1000),
+    "target_latency_ms": (0, 3_600_000),
 }
 WEIGHT_RANGE = (0, 1000)
 SHARE_RANGE = (1, 1000)
@@ -104,9 +107,14 @@
         All problems in the order of the services; empty when the table is valid.
     """
     problems: list[RowProblem] = []
+    name_by_route: dict[tuple[str, str], str] = {}
     for service in sorted(rows_by_service):
         row = rows_by_service[service]
         problems.extend(_row_problems(service, row))
+        route = (row.host or service, row.path_prefix)
+        if row.path_prefix and name_by_route.setdefault(route, service) != service:
+            reason = f"row {name_by_route[route]!r} has the same host and prefix"
+            problems.append(RowProblem(service, "path_prefix", reason))
         for destination in row.destinations:
             if destination.service not in rows_by_service:
                 reason = f"names service {destination.service!r}, which has no row"
@@ -146,7 +154,7 @@
     """Apply consecutive deltas and check the result against the digest in the last one."""
     version, rows_by_service, expected = table.version, table.rows_by_service, table.digest
     for delta in deltas:
-        if delta.version != version + 1:
+        if delta.base_version != version or delta.version <= version:
             return DeltaRefused(delta.version, f"does not follow version {version}")
         for change in delta.rows:
             if change.row is not None and change.row.service != change.service:
@@ -159,6 +167,28 @@
     return Table(version, rows_by_service, expected)
 
 
+def chain(deltas: Iterable[Delta], version: int) -> tuple[Delta, ...]:
+    """Return the deltas that lead from `version` to the newest version that they can reach.
+
+    Nodes that read the store at different moments may have cut the same history differently; the
+    longest step from each version is taken.
+    """
+    delta_by_base: dict[int, Delta] = {}
+    for delta in sorted(deltas, key=lambda item: item.version):
+        delta_by_base[delta.base_version] = delta
+    steps: list[Delta] = []
+    while (step := delta_by_base.get(version)) is not None and step.version > version:
+        steps.append(step)
+        version = step.version
+    return tuple(steps)
+
+
+def delta_between(old: Table, new: Table, author: str, at_ms: int) -> Delta:
+    """Return the change from `old` to `new`, for a source that only tells whole versions."""
+    changes = diff(old, new)
+    return Delta(new.version, new.digest, author, at_ms, "", changes, new.digest, old.version)
+
+
 def digest(rows_by_service: Mapping[str, Row]) -> str:
     """Return the digest of the rows, independent of their order in the mapping."""
     hasher = hashlib.blake2b(digest_size=DIGEST_BYTES)
@@ -289,11 +319,23 @@
         yield RowProblem(
             service, "service", "must be 1 to 64 lower-case letters, digits, '-', '_' or '.'"
         )
+    yield from _route_problems(service, row)
     yield from _destination_problems(service, row)
     yield from _range_problems(service, row)
     yield from _list_problems(service, row)
 
 
+def _route_problems(service: str, row: Row) -> Iterator[RowProblem]:
+    if row.host and not HOST_PATTERN.fullmatch(row.host):
+        yield RowProblem(service, "host", "must be a lower-case host name without a port")
+    prefix = row.path_prefix
+    if prefix and not (prefix.startswith("/") and prefix.endswith("/")):
+        yield RowProblem(service, "path_prefix", f"{prefix!r} must begin and end with '/'")
+    if len(prefix) > MAX_PREFIX_LENGTH:
+        reason = f"must have at most {MAX_PREFIX_LENGTH} characters"
+        yield RowProblem(service, "path_prefix", reason)
+
+
 def _destination_problems(service: str, row: Row) -> Iterator[RowProblem]:
     destinations = row.destinations
     if not destinations:
--- a/standins/target.py
+++ b/standins/target.py
@@ -269,7 +269,7 @@
         if head.target.startswith("/bytes/"):
             self._stream_left = int(head.target.rpartition("/")[2])
             self._sent = 0
-            self._write(self._codec.encode_response(self._response_head(status, None)))
+            self._write(self._codec.encode_response(self._response_head(status, None), head))
             self._stream()
             return
         if head.target == "/echo":
@@ -279,7 +279,9 @@
             target_id = self._target.target_id
             body = json.dumps({"request_id": request_id, "target": target_id}).encode()
         if behaviour.cut_after >= 0:
-            self._write(self._codec.encode_response(self._response_head(status, len(body))))
+            self._write(
+                self._codec.encode_response(self._response_head(status, len(body)), self._head)
+            )
             self._write(body[: behaviour.cut_after])
             if self._transport is not None:
                 self._transport.close()
@@ -302,7 +304,7 @@
 
     def _answer(self, status: int, body: bytes) -> None:
         assert self._head is not None
-        data = self._codec.encode_response(self._response_head(status, len(body)))
+        data = self._codec.encode_response(self._response_head(status, len(body)), self._head)
         if self._head.method != "HEAD":
             data += self._codec.encode_body(body)
         self._write(data + self._codec.encode_end())
@@ -333,7 +335,7 @@
         self._target.journal_end(self._entry, end)
 
     def _next(self) -> None:
-        if self._codec.closing or self._codec.surplus:
+        if self._codec.closing or self._codec.surplus or self._codec.following:
             if self._transport is not None:
                 self._transport.close()
             return
--- a/tests/harness.py
+++ b/tests/harness.py
@@ -17,6 +17,7 @@
     Address,
     Destination,
     PlacedTarget,
+    RouteIndex,
     Row,
     Snapshot,
     Target,
@@ -187,6 +188,7 @@
             {service: (Destination(service, 1),)} if placed else {},
             {},
             {service: placed},
+            RouteIndex((self.row,)),
         )
 
     address_of: Callable[[Node], Address] = staticmethod(lambda node: node.peer_address)
--- a/tests/test_readers.py
+++ b/tests/test_readers.py
@@ -14,7 +14,8 @@
 from jaypost.config import ConfigHolder, OfferTable
 from jaypost.readers import NothingNew, ReadFailed, ReadHead, TableReader
 from jaypost.records import Address, Head, Row, RowChange
-from jaypost.store import Effect, Found, Missing, StoreClient, StoreFailed, Unchanged
+from jaypost.store import Effect, Found, Missing, StoreFailed, Unchanged
+from jaypost.store_client import StoreClient
 from jaypost.writers import Accepted, TableEdit, TableWriter
 from standins.store import Faults, StoreServer
 
--- a/tests/test_writers.py
+++ b/tests/test_writers.py
@@ -17,7 +17,8 @@
 
 from jaypost import layout, table, writers
 from jaypost.records import Address, Destination, Row, RowChange, Table
-from jaypost.store import Effect, StoreClient, StoreFailed
+from jaypost.store import Effect, StoreFailed
+from jaypost.store_client import StoreClient
 from jaypost.writers import (
     Accepted,
     ChangeAbsent,
