--- a/jaypost/ingress.py
+++ b/jaypost/ingress.py
@@ -55,7 +55,14 @@
 from jaypost.invariants import check
 from jaypost.local import LocalExchange
 from jaypost.logs import EventName
-from jaypost.placement import AttemptEnded, AttemptStarted, ChooseTarget, NoTarget, Placement
+from jaypost.placement import (
+    QUEUE_REFUSALS,
+    AttemptEnded,
+    AttemptStarted,
+    ChooseTarget,
+    NoTarget,
+    Placement,
+)
 from jaypost.pools import CallFailed, ConnectionPool, Exchange, PooledExchange, Receiver
 from jaypost.records import Address, Destination, Load, PlacedTarget, Row, Snapshot
 from jaypost.retries import AttemptFailed, GiveUp, Retry, RetryPolicy, hand_over_limit
@@ -743,6 +750,10 @@
             self._arrivals += 1
         else:
             self._hand_overs += 1
+        if refusal.kind in QUEUE_REFUSALS and self._row is not None:
+            # The next attempt is the last one: a caller whose request finds every queue too long
+            # learns it after two of them.
+            self._hand_overs = max(self._hand_overs, hand_over_limit(self._row))
         self._maybe_run = self._maybe_run or refusal.reached
         self._last_kind = refusal.kind
         now = self._ingress.clock()
