Pace large responses at the link of the host, and admit them by its backlog

Cause: on the grown sites the hosts of the downloads have links of 3.5 to 16 Mbit/s, which downloads fill to 80 to 90 percent on average. The portal's slots were held meanwhile.

Ruled out: the processor (0.07 of 0.43 cores, event loops at most 7 ms late in the traffic) and the slots of the download hosts.

Change: the rate of the link is a setting. Large responses wait in the node and leave in pieces, one after the other; small ones go between them. The egress learns the sizes of responses by path and refuses a large one as not run while 0.25 s of transfers are ahead of it, so that it goes to another host; the last attempt is refused when its response would be late. A stopping node delivers what it has answered before it closes the connections.

The first sites' links are so fast that all responses are written at once there.

--- a/jaypost/admission.py
+++ b/jaypost/admission.py
@@ -22,6 +22,9 @@
 # A less urgent request that came to a target within this time, in seconds, would get the slot that
 # a more urgent one is refused.
 LESS_URGENT_MEMORY_S = 1.0
+# Another host probably sends a large response sooner than one whose link is busy for this long, in
+# seconds.
+LINK_WAIT_S = 0.25
 USUAL_GAIN = 1 / 256
 RECENT_GAIN = 1 / 4
 # One request of unrecognised long work moves the pace by at most
@@ -75,6 +78,11 @@
     answer_by : float
         Monotonic time in seconds up to which an answer is worth most; a request that cannot have
         it by then does not wait.
+    transfer_s : float
+        Time in seconds that the response is expected to occupy the link of the host; 0 when it is
+        small.
+    link_wait_s : float
+        Time in seconds until the link is free of the responses before this one.
     """
 
     ticket: str
@@ -87,6 +95,8 @@
     now: float
     priority: int = 0
     answer_by: float = math.inf
+    transfer_s: float = 0.0
+    link_wait_s: float = 0.0
 
     @property
     def due(self) -> float:
@@ -348,6 +358,16 @@
             for priority, asked_at in self._asked_at_by_priority.items()
         )
 
+    def link_refusal(self, message: Admit) -> ErrorKind | None:
+        """Return why the link of the host cannot take the response to a request, if so."""
+        if not message.transfer_s or not message.link_wait_s:
+            return None
+        if not message.may_queue:
+            return ErrorKind.LINK_FULL if message.link_wait_s > LINK_WAIT_S else None
+        run_s = self.expected_s(message.call_class)
+        answered_at = message.now + max(message.link_wait_s, run_s) + message.transfer_s
+        return ErrorKind.DEADLINE_TOO_SHORT if answered_at > message.due else None
+
     def needed_s(self, message: Admit, now: float) -> float:
         """Return the time that must be left for a request to be queued behind its wait.
 
@@ -553,6 +573,9 @@
         queue.row = message.row
         queue.now = max(queue.now, message.now)
         queue.asked(message)
+        link_kind = queue.link_refusal(message)
+        if link_kind is not None:
+            return (Refused(ticket, link_kind, queue.load),)
         if queue.has_slot(message.call_class):
             queue.judge_pace()
             if not message.may_queue and queue.busy >= queue.offered_slots:
--- a/jaypost/connections.py
+++ b/jaypost/connections.py
@@ -29,6 +29,7 @@
 from jaypost.invariants import check
 from jaypost.records import Address
 from jaypost.settings import Settings
+from jaypost.uplink import Uplink
 
 log = structlog.get_logger(__name__)
 
@@ -189,7 +190,8 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Register the connection."""
         # Not asserted: the transports of uvloop are no subclasses of asyncio.Transport.
-        self._transport = cast(asyncio.Transport, transport)
+        opened = cast(asyncio.Transport, transport)
+        self._transport = self._server.uplink.wrap(opened, self)
         self._server.connections.add(self)
 
     def connection_lost(self, exc: Exception | None) -> None:
@@ -617,9 +619,14 @@
         Address to listen on; port 0 lets the kernel choose.
     handlers : ConnectionHandlers
         Receiver of the calls.
+    uplink : Uplink
+        Link of the host, which the responses share.
     """
 
-    def __init__(self, settings: Settings, address: Address, handlers: ConnectionHandlers) -> None:
+    def __init__(
+        self, settings: Settings, address: Address, handlers: ConnectionHandlers, uplink: Uplink
+    ) -> None:
+        self.uplink = uplink
         self._settings = settings
         self._address = address
         self._handlers = handlers
@@ -642,16 +649,24 @@
     async def drain(self, in_flight: InFlight, timeout_s: float) -> bool:
         """Keep no connection after its call, wait for the calls in flight and stop listening.
 
+        The responses of calls that ended are delivered before this returns.
+
         Returns
         -------
         bool
-            Whether all calls ended within the timeout.
+            Whether all calls ended and all connections were closed within the timeout.
         """
         self.draining = True
-        done = await in_flight.wait_empty(timeout_s)
-        self.stop_listening()
-        self.close_idle()
-        return done
+        try:
+            async with asyncio.timeout(timeout_s):
+                await in_flight.wait_empty()
+                self.stop_listening()
+                self.close_idle()
+                await self._wait_closed()
+        except TimeoutError:
+            self.stop_listening()
+            return False
+        return True
 
     def stop_listening(self) -> None:
         """Close the listening socket; open connections stay."""
@@ -674,6 +689,9 @@
         self.stop_listening()
         for connection in tuple(self.connections):
             connection.close()
+        await self._wait_closed()
+
+    async def _wait_closed(self) -> None:
         while self.connections:
             self._no_connections.clear()
             await self._no_connections.wait()
@@ -704,11 +722,6 @@
         if self._count == 0:
             self._empty.set()
 
-    async def wait_empty(self, timeout_s: float) -> bool:
-        """Wait until no call is in flight; return False when the time is over first."""
-        try:
-            async with asyncio.timeout(timeout_s):
-                await self._empty.wait()
-        except TimeoutError:
-            return False
-        return True
+    async def wait_empty(self) -> None:
+        """Wait until no call is in flight."""
+        await self._empty.wait()
--- a/jaypost/daemon.py
+++ b/jaypost/daemon.py
@@ -57,6 +57,7 @@
 from jaypost.seeds import StoreSeeds
 from jaypost.settings import LoadedSettings, RefusedSettings, Settings
 from jaypost.store import StoreCallEnded
+from jaypost.uplink import Uplink
 from jaypost.view import MembershipView
 
 log = structlog.get_logger(__name__)
@@ -138,6 +139,7 @@
         self.placement = Placement(
             node_settings.failure_domain, node_settings.region, self.health, rng
         )
+        self.uplink = Uplink(node_settings.link_mbps)
         self.egress = Egress(
             node_settings,
             Admission(),
@@ -145,6 +147,7 @@
             self._snapshot,
             self.metrics.execution_ended,
             integration.target_dialect,
+            self.uplink,
         )
         self.claims = Claims(self.store, node_settings.claim_rate)
         self.ingress = Ingress(
@@ -157,6 +160,7 @@
             self.egress,
             integration.caller_dialect,
             rng,
+            self.uplink,
         )
         self._rng = rng
         self._unreachable_ids: frozenset[str] = frozenset()
@@ -263,6 +267,7 @@
         """Take settings into use that may change while the node runs."""
         self.settings = self.ingress.settings = self.egress.settings = new
         self.announcements.use(new)
+        self.uplink.use(new.link_mbps)
 
     async def close(self) -> None:
         """Close every part in the reverse order of `start`."""
--- a/jaypost/egress.py
+++ b/jaypost/egress.py
@@ -63,6 +63,8 @@
 from jaypost.pools import CallFailed, ConnectionPool, PooledExchange, Receiver
 from jaypost.records import Address, PlacedTarget, Row, Snapshot, Target, TargetState
 from jaypost.settings import Settings
+from jaypost.transfers import Transfers
+from jaypost.uplink import Uplink
 
 log = structlog.get_logger(__name__)
 
@@ -92,12 +94,14 @@
         "_opened_at",
         "_refused_kind",
         "_responder",
+        "_response_bytes",
         "_response_status",
         "_row",
         "_streaming",
         "_target",
         "_ticket",
         "_timer",
+        "_transfer_s",
         "_waiting",
     )
 
@@ -119,6 +123,8 @@
         self._body_done = False
         self._exchange: PooledExchange | None = None
         self._response_status = 0
+        self._response_bytes = 0
+        self._transfer_s = 0.0
         # Set when the target said that it did not execute the request.
         self._refused_kind: ErrorKind | None = None
         self._timer: asyncio.TimerHandle | None = None
@@ -185,6 +191,8 @@
             self._call_class = CallClass.LONG
         else:
             self._call_class = egress.long_work.classify(self._row, self._head.target, now)
+        path = self._head.target
+        self._transfer_s = egress.transfers.expected_s(self._row.service, path)
         egress.handle(
             Admit(
                 self._ticket,
@@ -197,6 +205,8 @@
                 now,
                 _whole_number(control.get(PRIORITY), 0),
                 self._opened_at + _whole_number(control.get(ANSWER_BY_MS), UNBOUNDED_MS) / 1000,
+                self._transfer_s,
+                egress.transfers.wait_s() if self._transfer_s else 0.0,
             )
         )
 
@@ -218,6 +228,7 @@
             now = self._admitted_at = self._egress.clock()
             assert self._row is not None
             path = self._head.target
+            self._egress.transfers.started(self._ticket, self._transfer_s)
             self._egress.long_work.started(self._ticket, self._row.service, path, now)
             self._dispatch(now)
         elif isinstance(decision, Refused):
@@ -368,6 +379,7 @@
     def target_body(self, data: bytes) -> None:
         """Forward a part of the response."""
         if self._refused_kind is None:
+            self._response_bytes += len(data)
             self._responder.send_body(data)
 
     def target_end(self) -> None:
@@ -475,17 +487,19 @@
         )
         self._exchange = None  # breaks the reference cycle of call, exchange and receiver
         if self._admitted_at is not None:
-            self._learn_duration(run_state, now - started_at)
+            egress.transfers.ended(self._ticket)
+            self._learn(run_state, now - started_at)
             egress.handle(Release(self._ticket, now - started_at, now))
         elif self._waiting:
             egress.handle(Cancel(self._ticket, now))
 
-    def _learn_duration(self, run_state: RunState, service_s: float) -> None:
+    def _learn(self, run_state: RunState, service_s: float) -> None:
         assert self._row is not None
         long_work = self._egress.long_work
         service, path = self._row.service, self._head.target
         if run_state is RunState.RAN:
             long_work.observe(service, path, service_s, self._ticket)
+            self._egress.transfers.observe(service, path, self._response_bytes)
         else:
             long_work.abandoned(self._ticket, service, path)
 
@@ -555,6 +569,8 @@
         Told the result of each call.
     dialect : HeaderDialect or None
         Names of the headers that targets read and write; None for those of jaypost.
+    uplink : Uplink or None
+        Link of the host; None for one of its own with the rate of the settings.
     """
 
     def __init__(
@@ -565,7 +581,10 @@
         snapshot: Callable[[], Snapshot],
         on_call_ended: Callable[[CallEnded], None],
         dialect: HeaderDialect | None = None,
+        uplink: Uplink | None = None,
     ) -> None:
+        uplink = uplink or Uplink(settings.link_mbps)
+        self.transfers = Transfers(uplink)
         self.settings = settings
         self.admission = admission
         self.limits = limits
@@ -589,7 +608,10 @@
         self._applying = False
         self._ticker: asyncio.TimerHandle | None = None
         self._server = CallServer(
-            settings, settings.listen_peer, ConnectionHandlers(self.open_call, self._refuse_input)
+            settings,
+            settings.listen_peer,
+            ConnectionHandlers(self.open_call, self._refuse_input),
+            uplink,
         )
 
     async def start(self) -> Address:
--- a/jaypost/errors.py
+++ b/jaypost/errors.py
@@ -28,6 +28,7 @@
     NO_TARGET = "no_target"
     SLOTS_FULL = "slots_full"
     QUEUE_FULL = "queue_full"
+    LINK_FULL = "link_full"
     RATE_LIMITED = "rate_limited"
     CONCURRENCY_LIMITED = "concurrency_limited"
     DEADLINE_TOO_SHORT = "deadline_too_short"
@@ -98,6 +99,11 @@
     ErrorKind.QUEUE_FULL: _not_run(
         HTTPStatus.SERVICE_UNAVAILABLE, "The queue of the target is full.", retryable=True
     ),
+    ErrorKind.LINK_FULL: _not_run(
+        HTTPStatus.SERVICE_UNAVAILABLE,
+        "The link of the target's host is busy with other responses.",
+        retryable=True,
+    ),
     ErrorKind.RATE_LIMITED: _not_run(
         HTTPStatus.TOO_MANY_REQUESTS, "The rate limit of the service is reached."
     ),
--- a/jaypost/ingress.py
+++ b/jaypost/ingress.py
@@ -67,6 +67,7 @@
 from jaypost.records import Address, Destination, Load, PlacedTarget, Row, Snapshot
 from jaypost.retries import AttemptFailed, GiveUp, Retry, RetryPolicy, hand_over_limit
 from jaypost.settings import Settings
+from jaypost.uplink import Uplink
 
 log = structlog.get_logger(__name__)
 
@@ -83,6 +84,7 @@
     ErrorKind.NO_TARGET: (0.2, 0.5),
     ErrorKind.SLOTS_FULL: (0.05, 0.3),
     ErrorKind.QUEUE_FULL: (0.05, 0.3),
+    ErrorKind.LINK_FULL: (0.05, 0.3),
     ErrorKind.DEADLINE_TOO_SHORT: (0.05, 0.3),
     ErrorKind.TARGET_SHED: (0.05, 0.3),
     ErrorKind.DRAINING: (0.0, 0.1),
@@ -899,6 +901,8 @@
         Names of the headers that callers read and write; None for those of jaypost.
     rng : random.Random or None
         Source of the jitter of ``Retry-After``.
+    uplink : Uplink or None
+        Link of the host; None for one of its own with the rate of the settings.
     """
 
     def __init__(
@@ -912,6 +916,7 @@
         local: Egress | None = None,
         dialect: HeaderDialect | None = None,
         rng: random.Random | None = None,
+        uplink: Uplink | None = None,
     ) -> None:
         self.settings = settings
         self.placement = placement
@@ -932,6 +937,7 @@
             settings,
             settings.listen_caller,
             ConnectionHandlers(self.open_call, self._refuse_input, self.may_overlap, dialect),
+            uplink or Uplink(settings.link_mbps),
         )
 
     async def start(self) -> Address:
--- a/jaypost/settings.py
+++ b/jaypost/settings.py
@@ -74,6 +74,7 @@
     drain_bound_ms: int
     grace_s: float
     retry_ratio: float
+    link_mbps: float
     log_level: str
     raise_on_violation: bool
 
@@ -246,6 +247,11 @@
         _number(float, 0, 1),
         "repeated calls that the targets of a service accept, as a fraction of its calls",
     ),
+    "link_mbps": Setting(
+        "0",
+        _number(float, 0, 1_000_000),
+        "rate of the link of the host in megabits per second; 0 when unknown",
+    ),
     "log_level": Setting(
         "info", _choice("debug", "info", "warning", "error"), "lowest level logged"
     ),
--- /dev/null
+++ b/tests/link_fakes.py
@@ -0,0 +1,80 @@
+"""A link and its connections in simulated time."""
+
+from __future__ import annotations
+
+import asyncio
+from dataclasses import dataclass, field
+from typing import Any
+
+
+@dataclass
+class Clock:
+    """Time and timers that tests move."""
+
+    now: float = 100.0
+    timers: list[tuple[float, Any]] = field(default_factory=list)
+
+    def call_later(self, delay_s: float, callback: Any) -> object:
+        self.timers.append((self.now + delay_s, callback))
+        return object()
+
+    def run_for(self, seconds: float) -> None:
+        until = self.now + seconds
+        while self.timers:
+            at, callback = min(self.timers, key=lambda timer: timer[0])
+            if at > until:
+                break
+            self.timers.remove((at, callback))
+            self.now = at
+            callback()
+        self.now = until
+
+
+class FakeTransport(asyncio.Transport):
+    """Records what is written, when, and what else is asked of the connection."""
+
+    def __init__(self, clock: Clock) -> None:
+        super().__init__()
+        self.clock = clock
+        self.written: list[tuple[float, int]] = []
+        self.data = b""
+        self.calls: list[str] = []
+        self.unread = 0
+
+    def write(self, data: bytes | bytearray | memoryview[Any]) -> None:
+        self.written.append((self.clock.now, len(data)))
+        self.data += bytes(data)
+
+    def get_write_buffer_size(self) -> int:
+        return self.unread
+
+    def is_closing(self) -> bool:
+        return "close" in self.calls or "abort" in self.calls
+
+    def close(self) -> None:
+        self.calls.append("close")
+
+    def abort(self) -> None:
+        self.calls.append("abort")
+
+    def write_eof(self) -> None:
+        self.calls.append("write_eof")
+
+    def pause_reading(self) -> None:
+        self.calls.append("pause_reading")
+
+    def resume_reading(self) -> None:
+        self.calls.append("resume_reading")
+
+
+class FakeProtocol(asyncio.Protocol):
+    """Counts how often the sender was paused and resumed."""
+
+    def __init__(self) -> None:
+        self.paused = self.resumed = 0
+
+    def pause_writing(self) -> None:
+        self.paused += 1
+
+    def resume_writing(self) -> None:
+        self.resumed += 1
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import random
+from dataclasses import replace
 
 import pytest
 from hypothesis import settings as hypothesis_settings
@@ -83,6 +84,29 @@
     assert built.load("t1").queued == queued
 
 
+@pytest.mark.parametrize(
+    ("transfer_s", "link_wait_s", "may_queue", "kind"),
+    [
+        (0.2, 0.0, False, None),
+        (0.2, adm.LINK_WAIT_S, False, None),
+        (0.2, 2 * adm.LINK_WAIT_S, False, ErrorKind.LINK_FULL),
+        (0.2, 2 * adm.LINK_WAIT_S, True, None),
+        (0.2, 0.9, True, ErrorKind.DEADLINE_TOO_SHORT),
+        (0.0, 5.0, False, None),
+        (2.0, 0.0, True, None),
+    ],
+    ids=["free", "short wait", "busy", "last attempt", "too late", "small response", "only one"],
+)
+def test_large_response_needs_the_link(transfer_s, link_wait_s, may_queue, kind):
+    """Guards against slots and link time spent on responses that arrive too late."""
+    message = admit("x", may_queue=may_queue, deadline=1.0)
+    built = admission()
+    (decision,) = built.handle(
+        replace(message, transfer_s=transfer_s, link_wait_s=link_wait_s, answer_by=1.0)
+    )
+    assert (decision.kind if isinstance(decision, adm.Refused) else None) is kind
+
+
 def test_queued_work_that_would_end_too_late_gives_up_its_place():
     built = admission(slots=1)
     fill(built, 1)
--- a/tests/test_ingress.py
+++ b/tests/test_ingress.py
@@ -438,6 +438,25 @@
         await idle.close()
 
 
+@pytest.mark.parametrize("local", HOPS.values(), ids=HOPS)
+async def test_drain_delivers_responses_that_wait_for_the_link(codec: str, local: bool) -> None:
+    """Guards against responses that a stopping node cuts after their calls have ended (P8)."""
+    size = 200_000
+    async with mesh(codec, (1,), local=local, link_mbps=8.0) as built:
+        node = built.nodes[0]
+        client = await built.client()
+        client.request("GET", f"/bytes/{size}")
+        head = await client.head()
+        await until(lambda: not node.ingress.in_flight.count)
+        assert await asyncio.gather(node.ingress.drain(), node.egress.drain()) == [True, True]
+        await node.close()
+        body = await asyncio.wait_for(client.reader.read(), 5)
+        while len(body) < size and (more := await asyncio.wait_for(client.reader.read(), 5)):
+            body += more
+        assert (head.status, len(body)) == (200, size)
+        await client.close()
+
+
 @pytest.mark.parametrize("fault", ["crossed", "silent", "closes", "silent until the deadline"])
 async def test_faulty_peer_connection(codec: str, fault: str) -> None:
     """Guards against responses of other requests, and waiting on a silent connection (P4)."""
--- a/tests/test_load_patterns.py
+++ b/tests/test_load_patterns.py
@@ -11,7 +11,11 @@
 import pytest
 
 from jaypost import admission as adm
+from jaypost import uplink as uplink_module
 from jaypost.records import Row, Target, TargetState
+from jaypost.transfers import Transfers
+from jaypost.uplink import Uplink
+from tests.link_fakes import Clock, FakeProtocol, FakeTransport
 
 SLOTS = 10
 WORK_S = 0.1
@@ -178,3 +182,103 @@
     """
     order = play([VIEW, ORDER], load, seed, UNEVEN_WORK)["order"]
     assert order.on_time_share >= 0.9 * (1.0 - UNEVEN_WORK.tail)
+
+
+LINK_MBPS = 8.0
+DOWNLOAD_BYTES = 90_000
+LOOKUP_BYTES = 300
+LOOKUPS_PER_S = 40
+DOWNLOAD_WORK_S = 0.1
+DOWNLOAD_TARGET_S = 1.0
+
+
+@dataclass
+class ThinLink:
+    """One host on a thin link that answers downloads and small lookups."""
+
+    load: float
+    seed: int
+    monkeypatch: pytest.MonkeyPatch
+
+    def __post_init__(self) -> None:
+        self.clock = Clock()
+        self.monkeypatch.setattr(uplink_module.asyncio, "get_running_loop", lambda: self.clock)
+        self.uplink = Uplink(LINK_MBPS)
+        self.uplink.clock = lambda: self.clock.now
+        self.transfers = Transfers(self.uplink)
+        self.transfers.observe("portal", "/download", DOWNLOAD_BYTES)
+        self.queue = adm.Admission()
+        target = Target("t", "portal", 1, SLOTS, TargetState.READY)
+        self.queue.handle(adm.SetTargets((target,), self.clock.now))
+        self.began_by_wire: dict[FakeTransport, float] = {}
+        self.lookups: list[FakeTransport] = []
+        self.downloads: list[FakeTransport] = []
+        self.refused = 0
+
+    def run(self) -> None:
+        """Play a crest of seconds."""
+        rng = random.Random(self.seed)
+        ends_at = self.clock.now + CREST_S
+        per_s = self.load * self.uplink.bytes_per_s / DOWNLOAD_BYTES
+        for number in itertools.count():
+            self.clock.run_for(rng.expovariate(per_s + LOOKUPS_PER_S))
+            if self.clock.now >= ends_at:
+                break
+            if rng.random() < per_s / (per_s + LOOKUPS_PER_S):
+                self._download(str(number))
+            else:
+                self._answer(LOOKUP_BYTES, self.lookups, self.clock.now)
+        self.clock.run_for(2 * DOWNLOAD_TARGET_S)
+
+    def _download(self, ticket: str) -> None:
+        now = self.clock.now
+        transfer_s = self.transfers.expected_s("portal", "/download")
+        (decision,) = self.queue.handle(
+            adm.Admit(
+                ticket,
+                "t",
+                ROW,
+                "default",
+                adm.CallClass.SHORT,
+                now + 2 * DOWNLOAD_TARGET_S,
+                True,
+                now,
+                answer_by=now + DOWNLOAD_TARGET_S,
+                transfer_s=transfer_s,
+                link_wait_s=self.transfers.wait_s(),
+            )
+        )
+        if isinstance(decision, adm.Refused):
+            self.refused += 1
+            return
+        self.transfers.started(ticket, transfer_s)
+        self.clock.call_later(DOWNLOAD_WORK_S, lambda: self._ran(ticket, now))
+
+    def _ran(self, ticket: str, began: float) -> None:
+        self._answer(DOWNLOAD_BYTES, self.downloads, began)
+        self.transfers.ended(ticket)
+        self.queue.handle(adm.Release(ticket, DOWNLOAD_WORK_S, self.clock.now))
+
+    def _answer(self, size: int, answers: list[FakeTransport], began: float) -> None:
+        wire = FakeTransport(self.clock)
+        self.began_by_wire[wire] = began
+        answers.append(wire)
+        self.uplink.wrap(wire, FakeProtocol()).write(bytes(size))
+
+    def sent_s(self, wire: FakeTransport) -> float:
+        """Return the time from the request until its response was on the link."""
+        return wire.written[-1][0] - self.began_by_wire[wire]
+
+
+@pytest.mark.parametrize("load", [0.8, 1.3, 2.0])
+@pytest.mark.parametrize("seed", [1, 2, 3])
+def test_thin_link_in_a_crest_of_downloads(load, seed, monkeypatch):
+    """Guards against lookups that wait behind downloads, and downloads that all end too late."""
+    link = ThinLink(load, seed, monkeypatch)
+    link.run()
+    assert all(link.sent_s(wire) == 0.0 for wire in link.lookups)
+    assert all(link.sent_s(wire) <= DOWNLOAD_TARGET_S for wire in link.downloads)
+    sent = sum(len(wire.data) for wire in link.downloads)
+    asked = (len(link.downloads) + link.refused) * DOWNLOAD_BYTES
+    assert sent >= 0.85 * min(asked, CREST_S * link.uplink.bytes_per_s)
+    assert not link.refused or load > 1.0
