Offer slots by the duration of work that targets tell

Cause: targets on shared machines become up to 2.5 times slower for a fraction of a second.

Change: the adapter reads the fourth figure of the load that targets send with each response, and the node offers slots in inverse proportion to it for one second. The own judgement remains for targets that tell nothing.

Tests that fail without it: tests/test_admission.py (told durations), tests/test_platform_documents.py (form of the header, and placeholders of the template that use a name which was replaced).

--- a/jaypost/admission.py
+++ b/jaypost/admission.py
@@ -34,6 +34,8 @@
 SLOW_FACTOR = 3.0
 STILL_SLOW_FACTOR = 1.5
 SLOW_SLOTS_FRACTION = 0.2
+# What a target told about its present durations holds for this time, in seconds.
+TOLD_MEMORY_S = 1.0
 LONG_FACTOR = 8.0
 STILL_LONG_FACTOR = 4.0
 PREFIX_SAMPLES = 5
@@ -134,6 +136,15 @@
     now: float
 
 
+@dataclass(frozen=True, slots=True)
+class ToldDuration:
+    """A target told how long its work takes now, as a multiple of the usual duration."""
+
+    target_id: str
+    factor: float
+    now: float
+
+
 @dataclass(frozen=True, slots=True)
 class Tick:
     """Time passed: queued requests whose deadline can no longer be met are refused."""
@@ -167,7 +178,7 @@
 
 
 Decision = Admitted | Queued | Refused
-Message = Admit | Release | Cancel | SetTargets | Tick
+Message = Admit | Release | Cancel | SetTargets | ToldDuration | Tick
 
 
 @dataclass(slots=True)
@@ -285,6 +296,8 @@
         self.durations_by_class = {call_class: _Durations() for call_class in CallClass}
         self.pace = _Pace()
         self.slow = False
+        self._told_factor = 1.0
+        self._told_at = -math.inf
         self._clock = 0.0
         self._queue_by_tenant: dict[str, _TenantQueue] = {}
         self._asked_at_by_priority: dict[int, float] = {}
@@ -299,12 +312,19 @@
         """Slots for requests that may not queue; few while the target is slow.
 
         The node of the target sees its pace at once, while hundreds of ingress nodes would each
-        need several slow answers. Requests that may queue still get every slot.
+        need several slow answers. Requests that may queue still get every slot. What the target
+        tells is exact, while a few long requests in a row look like a slow target.
         """
+        if self.now - self._told_at <= TOLD_MEMORY_S:
+            return max(1, round(self.target.slots / max(1.0, self._told_factor)))
         if not self.slow:
             return self.target.slots
         return max(1, int(self.target.slots * SLOW_SLOTS_FRACTION))
 
+    def told(self, message: ToldDuration) -> None:
+        """Take what the target told into account."""
+        self._told_factor, self._told_at = message.factor, message.now
+
     def judge_pace(self) -> None:
         """Decide whether the target is slow compared with its usual durations."""
         usual_s = self.durations_by_class[CallClass.SHORT].usual_s
@@ -622,6 +642,14 @@
                 self._queue_by_target[target_id] = _TargetQueue(target, message.now)
         return tuple(decisions)
 
+    @handle.register
+    def _told_duration(self, message: ToldDuration) -> tuple[Decision, ...]:
+        queue = self._queue_by_target.get(message.target_id)
+        if queue is not None:
+            queue.now = max(queue.now, message.now)
+            queue.told(message)
+        return ()
+
     @handle.register
     def _tick(self, message: Tick) -> tuple[Decision, ...]:
         decisions: list[Decision] = []
--- a/jaypost/calls.py
+++ b/jaypost/calls.py
@@ -24,6 +24,8 @@
 CALLER = b"x-jaypost-caller"
 PRIORITY = b"x-jaypost-priority"
 SHED = b"x-jaypost-shed"
+# Present duration of work at a target, in percent of the usual.
+WORK_DURATION = b"x-jaypost-work-duration"
 ANSWER_BY_MS = b"x-jaypost-answer-by-ms"
 ARRIVED = b"x-jaypost-arrived"
 RETRY_AFTER = b"retry-after"
--- a/jaypost/codecs.py
+++ b/jaypost/codecs.py
@@ -10,8 +10,8 @@
 
 import re
 from abc import ABC, abstractmethod
-from collections.abc import Iterable, Iterator, Mapping
-from dataclasses import dataclass
+from collections.abc import Callable, Iterable, Iterator, Mapping
+from dataclasses import dataclass, field
 from enum import Enum, auto
 from functools import lru_cache
 from http import HTTPStatus
@@ -42,10 +42,13 @@
         Names of jaypost by the names on the wire, in lower case. Both are control headers.
     dropped : frozenset of bytes
         Headers on the wire that are not passed on.
+    parse_by_wire : Mapping[bytes, callable]
+        Functions that turn the value of a header on the wire into the one that jaypost reads.
     """
 
     name_by_wire: Mapping[bytes, bytes]
     dropped: frozenset[bytes] = frozenset()
+    parse_by_wire: Mapping[bytes, Callable[[bytes], bytes]] = field(default_factory=dict)
 
     def encode(self, control: Mapping[bytes, bytes]) -> dict[bytes, bytes]:
         """Return the control headers that the other side knows, by their names on the wire."""
@@ -195,7 +198,8 @@
     for name, value in raw:
         own = dialect.name_by_wire.get(name)
         if own is not None:
-            yield own, value
+            parse = dialect.parse_by_wire.get(name)
+            yield own, parse(value) if parse is not None else value
         elif name not in dialect.dropped and not name.startswith(_CONTROL_PREFIX):
             yield name, value
 
--- a/jaypost/egress.py
+++ b/jaypost/egress.py
@@ -25,6 +25,7 @@
     Release,
     SetTargets,
     Tick,
+    ToldDuration,
 )
 from jaypost.calls import (
     ANSWER_BY_MS,
@@ -44,6 +45,7 @@
     SHED,
     TARGET,
     TENANT,
+    WORK_DURATION,
     CallEnded,
     ErrorAnswer,
     error_answer,
@@ -355,6 +357,10 @@
             self._exchange.cancel()
             self._fail(ErrorKind.OUTCOME_UNKNOWN)
             return
+        percent = _whole_number(head.control.get(WORK_DURATION), 0)
+        if percent:
+            now = self._egress.clock()
+            self._egress.handle(ToldDuration(self.target_id, percent / 100, now))
         if SHED in head.control:
             self._refused_kind = ErrorKind.TARGET_SHED
         elif head.status == HTTPStatus.MISDIRECTED_REQUEST:
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -194,6 +194,46 @@
     assert built.load("t1").slots == 10
 
 
+@pytest.mark.parametrize(
+    ("factor", "age_s", "offered"),
+    [
+        (1.0, 0.0, 5),
+        (0.8, 0.0, 5),
+        (1.1, 0.0, 5),
+        (2.5, 0.0, 2),
+        (20.0, 0.0, 1),
+        (20.0, 2 * adm.TOLD_MEMORY_S, 5),
+    ],
+    ids=["usual", "faster", "hardly slower", "slower", "very slow", "told long ago"],
+)
+def test_target_that_tells_it_is_slow_offers_fewer_slots(factor, age_s, offered):
+    """Guards against requests that go to a slow target while others have free slots."""
+    built = admission(slots=5)
+    built.handle(adm.ToldDuration("t1", factor, 1.0))
+    answers = [
+        built.handle(admit(f"f{number}", may_queue=False, now=1.0 + age_s))[0]
+        for number in range(6)
+    ]
+    assert sum(isinstance(answer, adm.Admitted) for answer in answers) == offered
+    (last,) = built.handle(admit("last", now=1.0 + age_s))
+    assert isinstance(last, adm.Admitted) == (offered < 5)
+
+
+def test_target_that_tells_the_usual_duration_keeps_its_slots_after_long_requests():
+    """Guards against a target that is left because a few of its requests were long."""
+    built = admission(slots=2)
+    for number in range(20):
+        built.handle(admit(f"s{number}", now=number * 0.1))
+        built.handle(adm.Release(f"s{number}", 0.1, number * 0.1 + 0.1))
+    built.handle(admit("long", now=2.1))
+    built.handle(adm.Tick(6.0))
+    assert built.load("t1").slots == 2
+    built.handle(admit("probe", now=6.0))
+    assert built.load("t1").slots == 1
+    built.handle(adm.ToldDuration("t1", 1.0, 6.1))
+    assert built.load("t1").slots == 2
+
+
 def test_long_work_is_recognised_by_its_observed_duration():
     work = adm.LongWork()
     rng = random.Random(1)
--- a/tests/test_platform_documents.py
+++ b/tests/test_platform_documents.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import re
 import tomllib
 from pathlib import Path
 
@@ -146,6 +147,28 @@
     assert head.headers == [(b"jaypost-response-signature", b"s")]
 
 
+@pytest.mark.parametrize(
+    ("load", "percent"),
+    [
+        (b"3,0,5,250", b"250"),
+        (b" 3, 0, 5, 100 ", b"100"),
+        (b"3,0,5", b""),
+        (b"", b""),
+        (b"3,0,5,100,7", b"100"),
+    ],
+)
+def test_duration_of_work_is_read_from_the_load_of_a_target(load: bytes, percent: bytes) -> None:
+    """Guards against a load of another form that fails the response."""
+    codec = client_codec(HttpCodec.HTTPTOOLS, 4096, TARGET_DIALECT)
+    codec.encode_request(RequestHead("GET", "/", {calls.HOST: b"a"}, []))
+    head, *_ = codec.receive(
+        b"HTTP/1.1 200 OK\r\nJaypost-Server-Load: %b\r\nContent-Length: 0\r\n\r\n" % load
+    )
+    assert isinstance(head, ResponseHead)
+    assert head.control == {calls.WORK_DURATION: percent}
+    assert head.headers == []
+
+
 def test_deploy_files_name_existing_settings() -> None:
     """Guards against a setting of the deploy file that the daemon ignores."""
     system = tomllib.loads((ROOT / "deploy" / "system.toml").read_text())
@@ -161,3 +184,11 @@
     assert watch_s <= OUT_OF_TOUCH_S
     names = tomllib.loads((ROOT / "deploy" / "wire.toml").read_text())["fields"].values()
     assert len(set(names)) == len(names)
+
+
+def test_template_uses_the_names_that_replace_the_platform_names() -> None:
+    """Guards against placeholders that are filled with nothing, because a field was renamed."""
+    renamed = tomllib.loads((ROOT / "deploy" / "wire.toml").read_text())["fields"]
+    template = (ROOT / "deploy" / "node.env").read_text()
+    parts = {part for path in re.findall(r"{{([^}|]+)", template) for part in path.split(".")}
+    assert not parts & renamed.keys()
