Answer on the admin port only when the membership exists

Cause: the node opened its admin port before it had built its view.

Change: the port is taken first, because its number is part of the node's record, and is served last.

Test that fails first: tests/test_daemon.py.

--- a/jaypost/admin.py
+++ b/jaypost/admin.py
@@ -193,14 +193,25 @@
         host, port = self._server.sockets[0].getsockname()[:2]
         return Address(host, port)
 
-    async def start(self) -> None:
-        """Listen on the admin address."""
-        listen = self._settings.listen_admin
-        self._server = await asyncio.start_server(self._accept, listen.host, listen.port)
+    async def bind(self) -> None:
+        """Take the admin addresses, without answering on them yet."""
+        self._server = await self._bound(self._settings.listen_admin)
         for further in (self._settings.listen_targets, self._settings.listen_ready):
             if further is not None:
-                server = await asyncio.start_server(self._accept, further.host, further.port)
-                self._further_servers.append(server)
+                self._further_servers.append(await self._bound(further))
+
+    async def start(self) -> None:
+        """Answer on the admin addresses."""
+        if self._server is None:
+            await self.bind()
+        assert self._server is not None
+        for server in (self._server, *self._further_servers):
+            await server.start_serving()
+
+    async def _bound(self, address: Address) -> asyncio.Server:
+        return await asyncio.start_server(
+            self._accept, address.host, address.port, start_serving=False
+        )
 
     async def close(self) -> None:
         """Close the listening socket and all connections."""
--- a/jaypost/daemon.py
+++ b/jaypost/daemon.py
@@ -175,10 +175,11 @@
         """Open all sockets, then join in the background."""
         await self.store.start()
         self.announcements.start()
-        await self.admin.start()
+        await self.admin.bind()
         peer = await self.egress.start()
         await self.ingress.start()
         await self._start_membership(peer)
+        await self.admin.start()  # its answers tell about the membership
         self._spawn(self._become_ready())
         self._spawn(self._do_periodic_work())
         self.metrics.add_source(self._update_metrics)
--- a/tests/test_daemon.py
+++ b/tests/test_daemon.py
@@ -5,6 +5,7 @@
 import asyncio
 import json
 import time
+from dataclasses import astuple
 
 import pytest
 from admin_fakes import VALID, load_settings
@@ -12,7 +13,7 @@
 from jaypost import daemon
 from jaypost.announcements import Announce
 from jaypost.events import EventLog
-from jaypost.records import TargetState
+from jaypost.records import Address, TargetState
 from jaypost.store import StoreCallEnded
 
 
@@ -84,3 +85,26 @@
     for status in statuses:
         node._on_store_call_ended(StoreCallEnded("get", status, 0.01))
     assert [event.name for event in events.newest(10)] == expected
+
+
+async def test_admin_port_answers_only_when_the_membership_exists(monkeypatch):
+    """Guards against queries and announcements that meet a node without a view (chaos seed 104)."""
+    listen = Address("127.0.0.1", 0)
+    settings = load_settings(
+        listen_caller=listen, listen_peer=listen, listen_control=listen, listen_admin=listen
+    )
+    node = daemon.Node(settings, EventLog())
+    begin = node._start_membership
+
+    async def start_membership(peer):
+        with pytest.raises(ConnectionRefusedError):
+            await asyncio.open_connection(node.admin.address.host, node.admin.address.port)
+        await begin(peer)
+
+    monkeypatch.setattr(node, "_start_membership", start_membership)
+    await node.start()
+    try:
+        _, writer = await asyncio.open_connection(*astuple(node.admin.address))
+        writer.close()
+    finally:
+        await node.close()
