Soak: connections delayed, reset or cut one way, steps of clocks, hang-ups

The soak lacked faults that the users name. The relay delays pieces, resets connections and silences one direction; nodes run with a wall clock that the run sets wrong by up to an hour; SIGHUP has nodes read their settings again.

--- a/bench/chaos.py
+++ b/bench/chaos.py
@@ -26,7 +26,7 @@
 
 from bench import chaos_checks as checks
 from bench.chaos_checks import Broken, OperatorChange, RunRecord, Sample, SentCall
-from bench.chaos_faults import FaultRunner, Subjects, draw_schedule
+from bench.chaos_faults import FaultRunner, Subjects, clock_path, draw_schedule
 from jaypost.records import Address, Delta, Row, RowChange, Table
 from jaypost.store import StoreFailed
 from jaypost.store_client import StoreClient
@@ -371,10 +371,16 @@
         return False
 
     def _start_node(self, node_id: str) -> None:
+        directory = self._fleet.directory
+        settings_file = directory / f"{node_id}.env"
+        settings_file.touch()  # the daemon reads it again on SIGHUP
         flags = ["--raise-on-violation", "true", "--claim-rate", "50"]
+        flags += ["--settings-file", str(settings_file)]
+        flags += ["--clock", str(clock_path(directory, node_id))]
         if node_id in self._relay_address_by_node:
             flags += ["--advertise-peer", self._relay_address_by_node[node_id]]
-        self._fleet.start_node(self._fleet.place_by_id[node_id], flags)
+        place = self._fleet.place_by_id[node_id]
+        self._fleet.start_node(place, flags, module="bench.stepped_daemon")
 
     def _start_target(self, target_id: str) -> None:
         number = int(target_id.rpartition("-")[2])
--- a/bench/chaos_faults.py
+++ b/bench/chaos_faults.py
@@ -10,12 +10,13 @@
 from collections.abc import Awaitable, Callable, Coroutine, Mapping, Sequence
 from dataclasses import dataclass
 from enum import StrEnum
+from pathlib import Path
 from typing import Any
 
 from bench.chaos_checks import ProcessEnd, Window
 from jaypost.records import Address
 from standins.processes import Fleet, Process, http
-from standins.relay import Relay
+from standins.relay import BOTH_WAYS, Relay
 
 KILLED_FRACTION = 0.2
 EXIT_TIMEOUT_S = 30.0
@@ -23,10 +24,18 @@
 AFTERMATH_S = 1.5
 # A silent connection is found by the idle probe or by a request that times out.
 SILENCE_AFTERMATH_S = 12.0
+# Steps of the wall clock of a node, in seconds.
+CLOCK_STEPS_S = (-3600.0, -20.0, -1.0, 1.0, 20.0, 3600.0)
+DELAYS_S = (0.02, 0.1, 0.4)
 # A killed node is accused after a failed sync and refutes when it is back.
 KILL_AFTERMATH_S = 3.0
 
 
+def clock_path(directory: Path, node_id: str) -> Path:
+    """Return the file that holds the error of the wall clock of a node, in seconds."""
+    return directory / f"{node_id}.clock"
+
+
 class FaultKind(StrEnum):
     """Kinds of faults."""
 
@@ -43,6 +52,11 @@
     CUT_TARGET = "cut_target"
     CROSS_TARGET = "cross_target"
     SILENCE = "silence"
+    SILENCE_ONE_WAY = "silence_one_way"
+    DELAY = "delay"
+    RESET = "reset"
+    STEP_CLOCK = "step_clock"
+    HANG_UP = "hang_up"
 
 
 GENTLE_KINDS = (
@@ -138,6 +152,11 @@
             FaultKind.CUT_TARGET: self._cut_target,
             FaultKind.CROSS_TARGET: self._cross_target,
             FaultKind.SILENCE: self._silence,
+            FaultKind.SILENCE_ONE_WAY: self._silence_one_way,
+            FaultKind.DELAY: self._delay,
+            FaultKind.RESET: self._reset,
+            FaultKind.STEP_CLOCK: self._step_clock,
+            FaultKind.HANG_UP: self._hang_up,
         }
 
     def _note(self, text: str) -> None:
@@ -298,11 +317,50 @@
             self._busy.discard(name)
 
     async def _silence(self, duration_s: float) -> None:
+        await self._silence_ways(BOTH_WAYS)
+
+    async def _silence_one_way(self, duration_s: float) -> None:
+        await self._silence_ways(frozenset({self._rng.random() < 0.5}))
+
+    async def _silence_ways(self, directions: frozenset[bool]) -> None:
         for node_id, relay in self._subjects.relay_by_node.items():
             start_s = time.monotonic()
-            self._note(f"silence {relay.silence()} connections to {node_id}")
+            count = relay.silence(directions)
+            self._note(f"silence {count} connections to {node_id}, to the client: {directions}")
             self._disturbed("silence", node_id, start_s, SILENCE_AFTERMATH_S)
 
+    async def _delay(self, duration_s: float) -> None:
+        for node_id, relay in self._subjects.relay_by_node.items():
+            start_s = time.monotonic()
+            relay.delay_s = self._rng.choice(DELAYS_S)
+            self._note(f"delay connections to {node_id} by {relay.delay_s} s")
+            await asyncio.sleep(duration_s)
+            relay.delay_s = 0.0
+            self._disturbed("delay", node_id, start_s, AFTERMATH_S)
+
+    async def _reset(self, duration_s: float) -> None:
+        for node_id, relay in self._subjects.relay_by_node.items():
+            start_s = time.monotonic()
+            self._note(f"reset {relay.reset()} connections to {node_id}")
+            self._disturbed("reset", node_id, start_s, AFTERMATH_S)
+
+    async def _step_clock(self, duration_s: float) -> None:
+        # The rules hold while a clock is wrong, so this disturbs no call.
+        node_id = self._rng.choice(self._subjects.node_ids)
+        path = clock_path(self._fleet.directory, node_id)
+        step_s = self._rng.choice(CLOCK_STEPS_S)
+        self._note(f"step the clock of {node_id} by {step_s} s")
+        path.write_text(str(step_s))
+        await asyncio.sleep(duration_s)
+        self._note(f"set the clock of {node_id} right")
+        path.write_text("0")
+
+    async def _hang_up(self, duration_s: float) -> None:
+        for name in self._take(self._subjects.node_ids):
+            self._note(f"hang up {name}")
+            self._process(name).send(signal.SIGHUP)
+            self._busy.discard(name)
+
 
 async def _put_json(address: Address, path: str, value: Mapping[str, object]) -> None:
     await asyncio.to_thread(http, "PUT", address, path, json.dumps(value).encode())
--- a/standins/relay.py
+++ b/standins/relay.py
@@ -1,34 +1,55 @@
-"""A TCP relay whose open connections can go silent while new ones work."""
+"""A TCP relay whose open connections can go silent, both ways or one, be delayed or be reset."""
 
 from __future__ import annotations
 
 import asyncio
+import socket
+import struct
 
 from jaypost.records import Address
 
 READ_BYTES = 65_536
+LINGER_RESET = struct.pack("ii", 1, 0)  # closing the socket sends a reset
+
+BOTH_WAYS = frozenset({False, True})
 
 
 class _Pair:
     """A connection of a client and the one opened for it, with a task for each direction."""
 
     def __init__(self) -> None:
-        self.silent = False
+        # Directions that discard bytes, by whether they lead to the client.
+        self.silent: set[bool] = set()
         self.writers: list[asyncio.StreamWriter] = []
 
-    async def forward(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        """Copy bytes until the end; a silent pair discards them and keeps both sides open."""
+    async def forward(
+        self,
+        relay: Relay,
+        to_client: bool,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+    ) -> None:
+        """Copy bytes until the end; a silent direction discards them and keeps both sides open."""
         try:
             while data := await reader.read(READ_BYTES):
-                if self.silent:
+                await asyncio.sleep(relay.delay_s)
+                if to_client in self.silent:
                     continue
                 writer.write(data)
                 await writer.drain()
         except OSError:
             pass
-        if not self.silent:
+        if to_client not in self.silent:
             writer.close()
 
+    def reset(self) -> None:
+        """Reset both connections."""
+        for writer in self.writers:
+            opened = writer.get_extra_info("socket")
+            if opened is not None and not writer.is_closing():
+                opened.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, LINGER_RESET)
+                writer.transport.abort()
+
 
 class Relay:
     """Forwards connections to `address`.
@@ -43,6 +64,8 @@
         self._address = address
         self._server: asyncio.Server | None = None
         self._pair_by_task: dict[asyncio.Task[None], _Pair] = {}
+        # Added to each piece that is forwarded, in seconds.
+        self.delay_s = 0.0
 
     async def start(self) -> Address:
         """Listen on a free loopback port and return the address."""
@@ -61,12 +84,20 @@
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
 
-    def silence(self) -> int:
-        """Stop forwarding on the connections that are open now, and return their number."""
-        pairs = [pair for pair in self._pair_by_task.values() if not pair.silent]
-        for pair in pairs:
-            pair.silent = True
-        return len(pairs)
+    def silence(self, directions: frozenset[bool] = BOTH_WAYS) -> int:
+        """Stop forwarding on the connections that are open now, and return their number.
+
+        `directions` are those cut, by whether they lead to the client.
+        """
+        for pair in self._pair_by_task.values():
+            pair.silent |= directions
+        return len(self._pair_by_task)
+
+    def reset(self) -> int:
+        """Reset the connections that are open now, and return their number."""
+        for pair in self._pair_by_task.values():
+            pair.reset()
+        return len(self._pair_by_task)
 
     async def _accept(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         task = asyncio.current_task()
@@ -77,7 +108,9 @@
         try:
             far = await asyncio.open_connection(self._address.host, self._address.port)
             pair.writers.append(far[1])
-            await asyncio.gather(pair.forward(reader, far[1]), pair.forward(far[0], writer))
+            await asyncio.gather(
+                pair.forward(self, False, reader, far[1]), pair.forward(self, True, far[0], writer)
+            )
         except (OSError, asyncio.CancelledError):
             pass
         finally:
