Serve large responses from the own host, and leave room for headers on the link

Cause: a host that takes a request for a large response sends it to its caller over its own link. When the target was on another host the response crossed two thin links, one of them for nothing.

Change: the first attempt of a request with a large response goes to the own target, if there is one; 5 percent of the link are left free. A connection that is lost while it writes no longer ends the pump of the link: the next write to it raised, and all waiting responses stood still until another one came (found by reading).

--- a/jaypost/ingress.py
+++ b/jaypost/ingress.py
@@ -60,11 +60,20 @@
     AttemptEnded,
     AttemptStarted,
     ChooseTarget,
+    Chosen,
     NoTarget,
     Placement,
 )
 from jaypost.pools import CallFailed, ConnectionPool, Exchange, PooledExchange, Receiver
-from jaypost.records import Address, Destination, Load, PlacedTarget, Row, Snapshot
+from jaypost.records import (
+    Address,
+    Destination,
+    Load,
+    PlacedTarget,
+    Row,
+    Snapshot,
+    TargetState,
+)
 from jaypost.retries import AttemptFailed, GiveUp, Retry, RetryPolicy, hand_over_limit
 from jaypost.settings import Settings
 from jaypost.uplink import Uplink
@@ -476,17 +485,19 @@
         ):
             self._fail(ErrorKind.OUTCOME_UNKNOWN)
             return
-        chosen = ingress.placement.choose(
-            ChooseTarget(
-                self._destination,
-                self._snapshot.targets_by_service.get(self._destination, ()),
-                row.spill,
-                self._tried,
-                self._hand_overs >= hand_over_limit(row),
-                now,
-                self._call_class is CallClass.LONG,
+        chosen: Chosen | NoTarget | None = self._own_target()
+        if chosen is None:
+            chosen = ingress.placement.choose(
+                ChooseTarget(
+                    self._destination,
+                    self._targets(),
+                    row.spill,
+                    self._tried,
+                    self._hand_overs >= hand_over_limit(row),
+                    now,
+                    self._call_class is CallClass.LONG,
+                )
             )
-        )
         if isinstance(chosen, NoTarget):
             if not hedge:
                 self._fail(self._last_kind or chosen.kind)
@@ -501,6 +512,26 @@
         self._hedged = self._hedged or hedge
         self._send(attempt, row, now, hedge)
 
+    def _targets(self) -> tuple[PlacedTarget, ...]:
+        return self._snapshot.targets_by_service.get(self._destination, ())
+
+    def _own_target(self) -> Chosen | None:
+        """Return a target of this host for the first attempt of a request with a large response.
+
+        Its response crosses the link of this host anyway, and that of another host as well if the
+        target is there.
+        """
+        local = self._ingress.local
+        if local is None or self._tried:
+            return None
+        if not local.transfers.expected_s(self._destination, self._head.target):
+            return None
+        own_id = self._ingress.settings.node_id
+        for placed in self._targets():
+            if placed.node_id == own_id and placed.target.state is TargetState.READY:
+                return Chosen(placed, may_queue=False)
+        return None
+
     def _send(self, attempt: Attempt, row: Row, now: float, hedge: bool) -> None:
         ingress = self._ingress
         head = self._request_head(attempt, now, hedge)
--- a/jaypost/uplink.py
+++ b/jaypost/uplink.py
@@ -13,6 +13,8 @@
 DIRECT_S = 0.005
 # Bytes of one connection that may wait for the link; then the sender of the response is paused.
 WAITING_LIMIT_BYTES = 262_144
+# Part of the link for the payload of responses; the rest is for packet headers and control traffic.
+PAYLOAD_SHARE = 0.95
 BITS_PER_BYTE = 8
 BITS_PER_MEGABIT = 1_000_000
 
@@ -40,7 +42,7 @@
 
     def use(self, megabits_per_s: float) -> None:
         """Take a rate into use."""
-        self.bytes_per_s = megabits_per_s * BITS_PER_MEGABIT / BITS_PER_BYTE
+        self.bytes_per_s = PAYLOAD_SHARE * megabits_per_s * BITS_PER_MEGABIT / BITS_PER_BYTE
 
     def wrap(self, transport: asyncio.Transport, protocol: asyncio.Protocol) -> asyncio.Transport:
         """Return a transport that writes to `transport` at the pace of the link."""
@@ -102,7 +104,7 @@
     def _next(self, piece_bytes: int) -> PacedTransport | None:
         """Return the first connection whose other side has taken the piece before."""
         for paced in self._waiting:
-            if paced.get_write_buffer_size() < piece_bytes:
+            if not paced.is_lost() and paced.get_write_buffer_size() < piece_bytes:
                 return paced
         return None
 
@@ -165,6 +167,8 @@
 
     def all_written(self) -> None:
         """Close the connection if that was asked for while bytes waited."""
+        if self.is_lost():
+            return
         if self._closing:
             self._transport.close()
         elif self._ending:
@@ -217,7 +221,7 @@
 
     def close(self) -> None:
         """Close the connection once everything is written."""
-        if self._closing:
+        if self.is_closing():
             return
         self._closing = True
         if self._parts:
--- a/tests/link_fakes.py
+++ b/tests/link_fakes.py
@@ -40,10 +40,16 @@
         self.data = b""
         self.calls: list[str] = []
         self.unread = 0
+        # Number of the write at which the connection turns out to be lost; 0 for none.
+        self.lost_at = 0
 
     def write(self, data: bytes | bytearray | memoryview[Any]) -> None:
+        if self.is_closing():
+            raise RuntimeError("the transport is closed")
         self.written.append((self.clock.now, len(data)))
         self.data += bytes(data)
+        if len(self.written) == self.lost_at:
+            self.calls.append("abort")
 
     def get_write_buffer_size(self) -> int:
         return self.unread
@@ -58,6 +64,8 @@
         self.calls.append("abort")
 
     def write_eof(self) -> None:
+        if self.is_closing():
+            raise RuntimeError("the transport is closed")
         self.calls.append("write_eof")
 
     def pause_reading(self) -> None:
--- a/tests/test_uplink.py
+++ b/tests/test_uplink.py
@@ -148,6 +148,22 @@
     assert link.backlog_s() < PIECE_S
 
 
+@pytest.mark.parametrize("lost_at", [1, 2, 5])
+@pytest.mark.parametrize("end", ["", "close", "write_eof"])
+def test_connection_lost_in_a_write_holds_up_no_other(clock: Clock, lost_at: int, end: str) -> None:
+    """Guards against an error of one connection that stops all responses of the host."""
+    link = link_of(clock)
+    lost, other = connect(link, clock), connect(link, clock)
+    lost.wire.lost_at = lost_at
+    lost.paced.write(bytes(LARGE))
+    if end and not lost.paced.is_closing():
+        getattr(lost.paced, end)()
+    other.paced.write(bytes(LARGE))
+    clock.run_for(0.5)
+    assert len(other.wire.data) == LARGE
+    assert link.backlog_s() == 0.0
+
+
 def test_sender_is_paused_while_too_much_waits(clock: Clock) -> None:
     """Guards against memory that grows with the size of a response."""
     link = link_of(clock)
