Leave a failing own target out for large responses

Found by reading: the preference for the own target passed over what the placement knows, so that each host would have sent the first attempt to its own target also while that is frozen or was just ejected.

Test that fails without it: tests/test_ingress.py (own target fails).

--- a/jaypost/ingress.py
+++ b/jaypost/ingress.py
@@ -527,8 +527,10 @@
         if not local.transfers.expected_s(self._destination, self._head.target):
             return None
         own_id = self._ingress.settings.node_id
+        now = self._ingress.clock()
         for placed in self._targets():
-            if placed.node_id == own_id and placed.target.state is TargetState.READY:
+            ready = placed.node_id == own_id and placed.target.state is TargetState.READY
+            if ready and self._ingress.placement.is_working(placed, now):
                 return Chosen(placed, may_queue=False)
         return None
 
--- a/jaypost/placement.py
+++ b/jaypost/placement.py
@@ -261,6 +261,13 @@
             return
         self._ended(event)
 
+    def is_working(self, placed: PlacedTarget, now: float) -> bool:
+        """Tell whether a target is neither ejected nor failed just now."""
+        load = self._load_by_id.get(placed.target.target_id)
+        if load is not None and now < load.failed_until:
+            return False
+        return self._health.weight(placed.target.target_id, now) > 0.0
+
     def reported_load(self, target_id: str) -> Load | None:
         """Return the load that the target's node reported last, None when it never did."""
         load = self._load_by_id.get(target_id)
@@ -319,7 +326,7 @@
             item = tier[int(self._rng.random() * len(tier))]
             if item is first or not item.reachable or not self._is_free(item, question):
                 continue
-            if not self._is_working(item, question.now):
+            if not self.is_working(item, question.now):
                 continue
             if self._rng.random() >= self._health.weight(item.target.target_id, question.now):
                 continue
@@ -356,13 +363,7 @@
         load = self._load_by_id.get(target_id)
         if load is not None and target_id in question.tried and question.now < load.broken_until:
             return False
-        return self._is_working(placed, question.now)
-
-    def _is_working(self, placed: PlacedTarget, now: float) -> bool:
-        load = self._load_by_id.get(placed.target.target_id)
-        if load is not None and now < load.failed_until:
-            return False
-        return self._health.weight(placed.target.target_id, now) > 0.0
+        return self.is_working(placed, question.now)
 
     def _queues_are_full(
         self,
--- a/standins/decisions.py
+++ b/standins/decisions.py
@@ -28,7 +28,7 @@
     NoTarget,
     Placement,
 )
-from jaypost.records import Destination, Load, Row
+from jaypost.records import Destination, Load, PlacedTarget, Row
 from jaypost.retries import AttemptFailed, GiveUp, Retry, RetryPolicy, hand_over_limit
 
 
@@ -37,6 +37,7 @@
 
     def __init__(self) -> None:
         self.ended: list[AttemptEnded] = []
+        self.failed_ids: set[str] = set()
 
     def destination(self, destinations: tuple[Destination, ...]) -> str | None:
         """Return the first destination."""
@@ -49,6 +50,10 @@
         fresh = [t for t in question.targets if t.target.target_id not in question.tried]
         return Chosen((fresh or question.targets)[0], question.last_attempt)
 
+    def is_working(self, placed: PlacedTarget, now: float) -> bool:
+        """Tell that a target works, unless it is among those that were named."""
+        return placed.target.target_id not in self.failed_ids
+
     def observe(self, event: AttemptStarted | AttemptEnded) -> None:
         """Keep the results of attempts."""
         if isinstance(event, AttemptEnded):
--- a/tests/test_ingress.py
+++ b/tests/test_ingress.py
@@ -438,11 +438,18 @@
         await idle.close()
 
 
-@pytest.mark.parametrize(("size", "own"), [(100_000, True), (100, False)], ids=["large", "small"])
-async def test_large_responses_come_from_the_own_host(codec: str, size: int, own: bool) -> None:
+@pytest.mark.parametrize(
+    ("size", "failed_ids", "own"),
+    [(100_000, set(), True), (100, set(), False), (100_000, {"target-1-0"}, False)],
+    ids=["large", "small", "own target fails"],
+)
+async def test_large_responses_come_from_the_own_host(
+    codec: str, size: int, failed_ids: set[str], own: bool
+) -> None:
     """Guards against large responses that cross the links of two hosts in place of one."""
     async with mesh(codec, (1, 1), slots=1, link_mbps=8.0) as built:
         client = await built.client(1)
+        built.nodes[1].placement.failed_ids = failed_ids
         built.nodes[1].egress.transfers.observe("orders", "/bytes/1", size)
         assert (await client.call("GET", f"/bytes/{size}")).status == 200
         assert len(built.nodes[1].egress_calls) == own
