--- a/standins/relay.py
+++ b/standins/relay.py
@@ -33,6 +33,8 @@
         try:
             while data := await reader.read(READ_BYTES):
                 await asyncio.sleep(relay.delay_s)
+                if writer.is_closing():  # reset while the piece was delayed
+                    break
                 if to_client in self.silent:
                     continue
                 writer.write(data)
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -9,6 +9,7 @@
 
 from jaypost.records import Address
 from standins.relay import BOTH_WAYS, Relay
+from tests.harness import UvloopPolicy
 
 SHORT_S = 0.2
 GENEROUS_S = 10.0
@@ -31,6 +32,11 @@
             writer.close()
 
 
+@pytest.fixture(scope="module")
+def event_loop_policy() -> UvloopPolicy:
+    return UvloopPolicy()
+
+
 @pytest.fixture
 async def relayed() -> AsyncIterator[tuple[Echo, Relay, Address]]:
     echo = Echo()
@@ -68,6 +74,22 @@
     writer.close()
 
 
+async def test_reset_while_a_piece_is_delayed(relayed) -> None:
+    _, relay, address = relayed
+    relay.delay_s = SHORT_S
+    failures: list[dict[str, object]] = []
+    asyncio.get_running_loop().set_exception_handler(lambda _, context: failures.append(context))
+    reader, writer = await asyncio.open_connection(address.host, address.port)
+    writer.write(b"first")
+    await asyncio.sleep(SHORT_S / 2)
+    relay.reset()
+    with pytest.raises(ConnectionResetError):
+        await asyncio.wait_for(reader.read(1), GENEROUS_S)
+    await asyncio.sleep(2 * SHORT_S)
+    assert not failures
+    writer.close()
+
+
 async def test_reset_ends_open_connections_only(relayed) -> None:
     _, relay, address = relayed
     reader, writer = await asyncio.open_connection(address.host, address.port)
