--- a/jaypost/announcements.py
+++ b/jaypost/announcements.py
@@ -180,6 +180,8 @@
         self._incarnation_by_departed_id: dict[str, int] = {}
         self._withdrawn: tuple[Target, ...] = ()
         self._on_targets = on_targets
+        # Called with the id of a target each time it shows that it is alive.
+        self.on_alive: Callable[[str], None] = lambda target_id: None
         self._events = events
         self._entry_by_id: dict[str, _Entry] = {}
         self._published: tuple[Target, ...] = ()
@@ -255,6 +257,7 @@
         elif previous.target != target:
             self._record(EventName.TARGET_CHANGED, target)
         self._publish()
+        self.on_alive(target.target_id)
         return TargetAccepted(target)
 
     @handle.register
--- a/jaypost/daemon.py
+++ b/jaypost/daemon.py
@@ -149,6 +149,7 @@
             integration.target_dialect,
             self.uplink,
         )
+        self.announcements.on_alive = self.egress.target_alive
         self.claims = Claims(self.store, node_settings.claim_rate)
         self.ingress = Ingress(
             node_settings,
--- a/jaypost/egress.py
+++ b/jaypost/egress.py
@@ -27,6 +27,7 @@
     Tick,
     ToldDuration,
 )
+from jaypost.breakers import Breakers
 from jaypost.calls import (
     ANSWER_BY_MS,
     ARRIVED,
@@ -63,7 +64,7 @@
 from jaypost.limits import FleetLimits, LimitQuestion
 from jaypost.logs import EventName
 from jaypost.pools import CallFailed, ConnectionPool, PooledExchange, Receiver
-from jaypost.records import Address, PlacedTarget, Row, Snapshot, Target, TargetState
+from jaypost.records import Address, Load, PlacedTarget, Row, Snapshot, Target, TargetState
 from jaypost.settings import Settings
 from jaypost.transfers import Transfers
 from jaypost.uplink import Uplink
@@ -173,6 +174,9 @@
         assert self._row is not None and self._target is not None
         egress = self._egress
         now = egress.clock()
+        if not egress.breakers.allows(self.target_id, now):
+            self._refuse(ErrorKind.TARGET_DOWN)
+            return
         question = LimitQuestion(
             self._row,
             egress.own_slots_by_service.get(self._target.service, 0),
@@ -217,10 +221,10 @@
         """Target of the call; empty before it is known."""
         return self._target.target_id if self._target is not None else ""
 
-    def leave_queue(self) -> None:
-        """Give up waiting for a slot, because the target drains."""
+    def leave_queue(self, kind: ErrorKind) -> None:
+        """Give up waiting for a slot, because the target drains or is down."""
         if self._waiting:
-            self._refuse(ErrorKind.DRAINING)
+            self._refuse(kind)
 
     def on_decision(self, decision: Decision) -> None:
         """Take the decision of the admission about this call."""
@@ -350,6 +354,7 @@
     def target_head(self, head: ResponseHead) -> None:
         """Forward the head of the response."""
         assert self._exchange is not None and self._target is not None
+        self._egress.target_alive(self.target_id)
         request_id = self._head.control.get(REQUEST_ID, b"")
         echoed = head.control.get(REQUEST_ID)
         if echoed is not None and echoed != request_id:
@@ -399,6 +404,8 @@
 
     def target_failed(self, failure: CallFailed) -> None:
         """Report the failure, or cut the response that was begun."""
+        if not self._response_status and self._refused_kind is None:
+            self._egress.target_broke(self.target_id)
         if self._refused_kind is not None:
             self._fail(self._refused_kind)
         elif self._response_status:
@@ -440,9 +447,7 @@
         responder = self._responder
         arrived = self._exchange is not None and self._exchange.reached
         self._end(kind, answer.status, answer.run_state)
-        load = None
-        if self._target is not None:
-            load = self._egress.admission.load(self._target.target_id)
+        load = self._egress.load(self.target_id) if self._target is not None else None
         error = error_answer(kind, request_id, load=load)
         if arrived:
             error.head.control[ARRIVED] = b"1"
@@ -470,7 +475,8 @@
                 target=self.target_id,
                 kind=kind,
                 run=run_state,
-                load=str(egress.admission.load(self.target_id)),
+                load=str(egress.load(self.target_id)),
+                link_ms=int(egress.transfers.wait_s() * 1000),
                 queue_ms=int((started_at - self._opened_at) * 1000),
                 service_ms=int((now - started_at) * 1000),
                 left_ms=int((self._deadline - now) * 1000) if self._deadline else 0,
@@ -598,6 +604,7 @@
         self.report = on_call_ended
         self.clock = time.monotonic  # the clock of uvloop has a resolution of 1 ms only
         self.long_work = LongWork()
+        self.breakers = Breakers()
         self.pool = ConnectionPool(settings, dialect=dialect)
         self.in_flight = InFlight()
         self.refusing = False
@@ -643,20 +650,40 @@
         now = self.clock()
         effective = tuple(self._effective(target, now) for target in self._announced)
         self.target_by_id = {target.target_id: target for target in effective}
+        self.breakers.keep(self.target_by_id)
         self.own_slots_by_service = {}
         for target in effective:
             if target.state is TargetState.READY:
                 slots = self.own_slots_by_service.get(target.service, 0)
                 self.own_slots_by_service[target.service] = slots + target.slots
         self.handle(SetTargets(effective, now))
+        for target in effective:
+            if target.state is TargetState.DRAINING:
+                self._empty_queue(target.target_id, ErrorKind.DRAINING)
+
+    def _empty_queue(self, target_id: str, kind: ErrorKind) -> None:
         for ticket in tuple(self.queued_tickets):
             call = self.call_by_ticket.get(ticket)
-            if call is not None and self._is_draining(call.target_id):
-                call.leave_queue()
-
-    def _is_draining(self, target_id: str) -> bool:
-        target = self.target_by_id.get(target_id)
-        return target is not None and target.state is TargetState.DRAINING
+            if call is not None and call.target_id == target_id:
+                call.leave_queue(kind)
+
+    def target_broke(self, target_id: str) -> None:
+        """Note that a target ended a connection without an answer, or did not accept it."""
+        if self.breakers.broken(target_id, self.clock()):
+            log.warning(EventName.TARGET_DOWN, target=target_id)
+            self._empty_queue(target_id, ErrorKind.TARGET_DOWN)
+
+    def target_alive(self, target_id: str) -> None:
+        """Note that a target answered or announced itself."""
+        if self.breakers.alive(target_id):
+            log.info(EventName.TARGET_UP, target=target_id)
+
+    def load(self, target_id: str) -> Load:
+        """Return the load to report for a target; one that is down has no free slots."""
+        load = self.admission.load(target_id)
+        if self.breakers.is_open(target_id):
+            return replace(load, busy=max(load.busy, load.slots))
+        return load
 
     def _effective(self, target: Target, now: float) -> Target:
         if target.state is not TargetState.DRAINING:
--- a/jaypost/errors.py
+++ b/jaypost/errors.py
@@ -35,6 +35,7 @@
     DEADLINE_EXCEEDED = "deadline_exceeded"
     DRAINING = "draining"
     TARGET_SHED = "target_shed"
+    TARGET_DOWN = "target_down"
     WRONG_TARGET = "wrong_target"
     CONNECT_FAILED = "connect_failed"
     OUTCOME_UNKNOWN = "outcome_unknown"
@@ -122,6 +123,11 @@
     ErrorKind.TARGET_SHED: _not_run(
         HTTPStatus.SERVICE_UNAVAILABLE, "The target refused the request unexecuted.", retryable=True
     ),
+    ErrorKind.TARGET_DOWN: _not_run(
+        HTTPStatus.SERVICE_UNAVAILABLE,
+        "The target broke its last connections off without an answer.",
+        retryable=True,
+    ),
     ErrorKind.WRONG_TARGET: _not_run(
         HTTPStatus.MISDIRECTED_REQUEST, "The host does not have this target.", retryable=True
     ),
--- a/jaypost/ingress.py
+++ b/jaypost/ingress.py
@@ -87,6 +87,7 @@
     ErrorKind.LINK_FULL: (0.05, 0.3),
     ErrorKind.DEADLINE_TOO_SHORT: (0.05, 0.3),
     ErrorKind.TARGET_SHED: (0.05, 0.3),
+    ErrorKind.TARGET_DOWN: (0.05, 0.3),
     ErrorKind.DRAINING: (0.0, 0.1),
     ErrorKind.CONNECT_FAILED: (0.05, 0.3),
 }
--- a/jaypost/logs.py
+++ b/jaypost/logs.py
@@ -64,6 +64,8 @@
     TARGET_CHANGED = "target_changed"
     TARGET_GONE = "target_gone"
     TARGET_REPLACED = "target_replaced"
+    TARGET_DOWN = "target_down"
+    TARGET_UP = "target_up"
     TARGET_EJECTED = "target_ejected"
     TARGET_RECOVERED = "target_recovered"
     CONNECTIONS_CLOSED = "connections_closed"
--- a/tests/test_egress.py
+++ b/tests/test_egress.py
@@ -8,10 +8,11 @@
 import pytest
 
 from jaypost.admission import CallClass
+from jaypost.breakers import BROKEN_IN_A_ROW, TRIAL_INTERVAL_S
 from jaypost.errors import ErrorKind, RunState
 from jaypost.records import Row, TargetState
 from standins.target import Behaviour
-from tests.harness import Mesh, RawClient, UvloopPolicy, mesh, until
+from tests.harness import Close, Mesh, RawClient, UvloopPolicy, fake_peer, mesh, until
 
 pytestmark = [pytest.mark.parametrize("codec", ["httptools", "h11"])]
 
@@ -196,3 +197,45 @@
         assert [entry.request_id for entry in node.targets[0].journal] == ["a"]
         await first.close()
         await second.close()
+
+
+async def test_dead_target_gets_no_requests_until_it_is_alive(codec: str) -> None:
+    """Guards against a target that breaks connections off and draws requests with free slots."""
+    async with fake_peer([Close()]) as dead, mesh(codec, (1,), slots=2) as built:
+        node = built.nodes[0]
+        node.targets[0].port = dead.address.port
+        built.publish()
+        client = await peer_client(built)
+        headers = {"x_jaypost_target": TARGET}
+        for number in range(BROKEN_IN_A_ROW):
+            reply = await client.call("POST", "/work/0", x_request_id=f"b{number}", **headers)
+            assert (reply.error, reply.run) == (ErrorKind.OUTCOME_UNKNOWN, RunState.UNKNOWN)
+        reply = await client.call("POST", "/work/0", x_request_id="refused", **headers)
+        assert (reply.error, reply.run) == (ErrorKind.TARGET_DOWN, RunState.NOT_RUN)
+        assert reply.headers["x-jaypost-load"] == "2/2/0"
+        assert dead.requests == BROKEN_IN_A_ROW
+        await asyncio.sleep(TRIAL_INTERVAL_S)
+        await client.call("POST", "/work/0", x_request_id="trial", **headers)
+        assert dead.requests == BROKEN_IN_A_ROW + 1
+        node.egress.target_alive(TARGET)
+        await client.call("POST", "/work/0", x_request_id="after", **headers)
+        assert dead.requests == BROKEN_IN_A_ROW + 2
+        await client.close()
+
+
+async def test_queue_of_a_target_that_dies_is_handed_over(codec: str) -> None:
+    """Guards against queued requests that are fed to a dead target one after the other."""
+    async with mesh(codec, (1,), slots=1) as built:
+        node = built.nodes[0]
+        running, waiting = await peer_client(built), await peer_client(built)
+        headers = {"x_jaypost_target": TARGET, "x_jaypost_may_queue": "1"}
+        running.request("POST", "/work/2000", x_request_id="a", **headers)
+        await until(lambda: len(node.targets[0].journal) == 1)
+        waiting.request("POST", "/work/0", x_request_id="b", **headers)
+        await until(lambda: len(node.egress.queued_tickets) == 1)
+        for _ in range(BROKEN_IN_A_ROW):
+            node.egress.target_broke(TARGET)
+        reply = await waiting.reply()
+        assert (reply.error, reply.run) == (ErrorKind.TARGET_DOWN, RunState.NOT_RUN)
+        await running.close()
+        await waiting.close()
