--- a/jaypost/ingress.py
+++ b/jaypost/ingress.py
@@ -87,6 +87,8 @@
 # Responses up to this size are delivered once they are complete, so that one that is cut on the
 # way can be replaced by another attempt.
 BUFFERED_RESPONSE_BYTES = 262_144
+# Part of the time of a request that its claim may take; the target needs the rest.
+CLAIM_SHARE = 0.5
 # Callers come back spread over this time, in seconds, once a slot may be free.
 RETRY_AFTER_BY_KIND: Mapping[ErrorKind, tuple[float, float]] = {
     ErrorKind.NOT_READY: (0.2, 0.5),
@@ -454,7 +456,10 @@
     async def _claim(self, key: str) -> None:
         ingress = self._ingress
         request_id = self._request_id.decode()
+        until = self._opened_at + CLAIM_SHARE * (self._deadline - self._opened_at)
+        timer = ingress.loop.call_at(until, self._fail, ErrorKind.CLAIM_UNAVAILABLE)
         outcome = await ingress.claims.claim(self._service, key, request_id, ingress.clock())
+        timer.cancel()
         if isinstance(outcome, Claimed):
             if self._done:
                 await ingress.claims.withdraw(self._service, key, request_id)
--- a/tests/test_ingress.py
+++ b/tests/test_ingress.py
@@ -387,6 +387,22 @@
         await client.close()
 
 
+async def test_claim_that_takes_most_of_the_time_is_given_up(codec: str) -> None:
+    """Guards against requests sent with too little time, whose outcome is unknown (seed 311)."""
+    async with mesh(codec, (1,), row=Row("orders", timeout_ms=600)) as built:
+        claims = built.nodes[0].claims
+        claims.delay_s = 0.55
+        client = await built.client()
+        reply = await client.call(
+            "POST", "/work/150", b"pay", idempotency_key="k", x_request_id="a"
+        )
+        assert (reply.error, reply.run) == (ErrorKind.CLAIM_UNAVAILABLE, RunState.NOT_RUN)
+        await asyncio.sleep(2 * claims.delay_s)
+        assert not claims.status_by_key
+        assert journal(built) == []
+        await client.close()
+
+
 async def test_hedge_delivers_the_faster_response_and_cancels_the_other(codec: str) -> None:
     """Guards against two responses, and against a loser that keeps its slot."""
     async with mesh(codec, (1, 1), row=Row("orders", hedge_ms=20), local=False) as built:
