--- a/jaypost/config.py
+++ b/jaypost/config.py
@@ -201,12 +201,13 @@
         -------
         tuple of Delta or None
             Empty when `version` is not older than the held version. None when not all deltas are
-            kept, so that the whole table must be sent instead.
+            kept, so that the whole table must be sent instead. If this node skipped `version`, the
+            first delta starts from an earlier version; see `table.overlapping_deltas`.
         """
         if version >= self.held_version:
             return ()
         newer = tuple(delta for delta in self._deltas if delta.version > version)
-        return newer if newer and newer[0].base_version == version else None
+        return newer if newer and newer[0].base_version <= version else None
 
     def offer(self, message: OfferDeltas | OfferTable, activate: bool = True) -> OfferOutcome:
         """Apply the versions of an offer that are newer than the held one.
@@ -297,7 +298,7 @@
             return Stale(self.held_version)
         deltas = table.consecutive_deltas(message.deltas, self.held_version)
         if not deltas or deltas[-1].version != newest_offered:
-            return Gap(self.held_version)
+            return self._apply_overlapping(message.deltas, newest_offered)
         base = self._held
         newest = table.apply_deltas(base, deltas)
         if isinstance(newest, table.DeltaRefused):
@@ -309,6 +310,20 @@
             self._candidate = _newest_valid_version(base, deltas[:-1]) or self._candidate
         return outcome
 
+    def _apply_overlapping(
+        self, deltas: Sequence[Delta], newest_offered: int
+    ) -> Held | Gap | RefusedVersion:
+        """Apply deltas from a node that skipped the version held here."""
+        steps = table.overlapping_deltas(deltas, self.held_version)
+        if not steps or steps[-1].version != newest_offered:
+            return Gap(self.held_version)
+        newest = table.apply_overlapping_deltas(self._held, steps)
+        if newest is None:
+            return Gap(self.held_version)
+        last = steps[-1]
+        self._deltas.append(table.delta_between(self._held, newest, last.author, last.at_ms))
+        return self._hold(newest)
+
     @_apply_offer.register
     def _(self, message: OfferTable) -> Held | Stale | Gap | RefusedVersion:
         offered = message.table
--- a/jaypost/daemon.py
+++ b/jaypost/daemon.py
@@ -36,7 +36,7 @@
 from jaypost.ingress import Ingress
 from jaypost.integration import DEFAULT_INTEGRATION, Integration
 from jaypost.invariants import raise_on_violation
-from jaypost.joining import Joined
+from jaypost.joining import PEERS_TO_ASK, Joined
 from jaypost.limits import FleetLimits
 from jaypost.logs import EventName
 from jaypost.metrics import Metrics, StoreOutcome
@@ -72,6 +72,9 @@
 # nodes. The rest is for propagating the draining state, which takes one synchronization interval at
 # most, and for the last calls.
 TARGET_SERVING_FRACTION = 0.5
+# Time that a starting node waits for its peers to receive a first version, and how often it looks.
+FIRST_VERSION_WAIT_S = 1.0
+FIRST_VERSION_CHECK_S = 0.05
 # Timeout of each of the last two steps, notifying the peers and closing the components. Both may
 # wait for a peer that is cut off and never answers.
 SHUTDOWN_STEP_TIMEOUT_S = 0.3
@@ -222,12 +225,17 @@
             self.store,
             self.holder,
             self.gossip.replicate,
-            self.gossip.is_reader,
+            self.gossip.store_reader_place,
             node_settings,
             source=self._integration.make_table_source(node_settings),
         )
+        self.gossip.store_contact_age_s = self._store_contact_age_s
         await self.gossip.start()
 
+    def _store_contact_age_s(self) -> float | None:
+        contact = self.reader.last_contact
+        return None if contact is None else time.monotonic() - contact
+
     async def run(self) -> int:
         """Serve until SIGTERM, SIGINT or a call of `drain`, then drain and close.
 
@@ -314,10 +322,11 @@
         self._spawn(self._load_departures())
         outcome = await self.gossip.join()
         self._not_ready_reason = "the newest table version is not known yet"
-        read = await self.reader.read_once()
-        while isinstance(read, ReadFailed) and not isinstance(outcome, Joined):
-            await asyncio.sleep(self.settings.store_backoff_min_s)
+        if not (isinstance(outcome, Joined) and await self._has_version_of_peers(outcome)):
             read = await self.reader.read_once()
+            while isinstance(read, ReadFailed) and not isinstance(outcome, Joined):
+                await asyncio.sleep(self.settings.store_backoff_min_s)
+                read = await self.reader.read_once()
         self.holder.resume_activation(outcome.highest_version if isinstance(outcome, Joined) else 0)
         self._not_ready_reason = "the newest table version is not in force yet"
         await self._replicate_and_activate()
@@ -332,6 +341,21 @@
         version = self.holder.in_force_version
         self.events.record(EventName.NODE_READY, node=self.settings.node_id, version=version)
 
+    async def _has_version_of_peers(self, joined: Joined) -> bool:
+        """Return whether enough peers were asked and the newest version that they hold is held.
+
+        A fleet that starts as a whole has no version until its readers have read the first one.
+        The other nodes wait for that rather than read the store themselves.
+        """
+        if joined.answered_peers < PEERS_TO_ASK:
+            return False
+        waited_until = time.monotonic() + FIRST_VERSION_WAIT_S
+        while time.monotonic() < waited_until and not self.gossip.reads_store():
+            if self.holder.held_version >= max(joined.highest_version, 1):
+                return True
+            await asyncio.sleep(FIRST_VERSION_CHECK_S)
+        return self.holder.held_version >= max(joined.highest_version, 1)
+
     async def _load_departures(self) -> None:
         """Adopt the departures kept in the store by an earlier process; retry until it answers."""
         departures = await self.departures.load()
@@ -462,7 +486,6 @@
     def status(self) -> LocalStatus:
         """Return the status of this node."""
         own = self.view.own
-        contact = self.reader.last_contact
         return LocalStatus(
             own.node_id,
             own.failure_domain,
@@ -474,11 +497,11 @@
             self._problems(),
             self._ready,
             self._not_ready_reason,
-            self.gossip.is_reader(),
+            self.gossip.reads_store(),
             len(self.view),
             self._unreachable_nodes(),
             self.announcements.targets,
-            None if contact is None else time.monotonic() - contact,
+            self._store_contact_age_s(),
         )
 
     async def fleet(self) -> FleetReport:
--- a/jaypost/gossip.py
+++ b/jaypost/gossip.py
@@ -3,8 +3,8 @@
 A node pushes each update at once to a few random nodes of its failure domain. At every sync
 interval it also compares its state with one random node of the domain. A node that does not answer
 is probed directly and through other nodes, and is accused when every probe fails. The readers of a
-failure domain, a few of its nodes that watch the store, also push to and synchronise with nodes of
-the other domains.
+failure domain also push to and synchronise with nodes of the other domains. Some of the readers of
+a region read the table from the store; see `elections`.
 """
 
 from __future__ import annotations
@@ -17,6 +17,7 @@
 from collections import Counter
 from collections.abc import Callable, Coroutine, Sequence
 from dataclasses import replace
+from enum import Enum, auto
 from functools import singledispatchmethod
 from typing import Any, Protocol
 
@@ -25,7 +26,14 @@
 from jaypost import comparison
 from jaypost.beacons import BeaconTracker, DomainContacts
 from jaypost.config import OfferDeltas, OfferTable
+from jaypost.elections import (
+    CHECK_INTERVAL_S,
+    READERS_PER_REGION,
+    ReaderElection,
+    candidates,
+)
 from jaypost.joining import Founded, Joiner, JoinOutcome, JoinServer
+from jaypost.logs import EventName
 from jaypost.messages import (
     Beacon,
     CompareBuckets,
@@ -75,6 +83,8 @@
 
 CALL_TIMEOUT_S = 1.0
 PROBE_TIMEOUT_S = 1.0
+# Age beyond the longest watch and its timeout at which a contact with the store is too old.
+CONTACT_SLACK_S = 0.5
 JOIN_TIMEOUT_S = 10.0
 TABLE_TIMEOUT_S = 5.0
 # Nodes that probe a peer on behalf of this node.
@@ -105,6 +115,9 @@
 # Interval at which a reader renews the lease of its seed, and joins at seeds that are not in its
 # view.
 SEED_REFRESH_INTERVAL_S = 20.0
+# Sync intervals for which a node has to be a reader before it registers its seed. While a fleet
+# starts, many nodes are readers for a moment, before they know the other nodes.
+INTERVALS_BEFORE_REGISTRATION = 3
 # Changes of the view within this time are reported by one notification.
 NOTIFY_DELAY_S = 0.02
 # A failed check of a peer that takes this much longer than the timeouts of its calls is ignored:
@@ -140,6 +153,14 @@
         """Hold the offered deltas or table if they are newer than the held version."""
 
 
+class _Replication(Enum):
+    """Outcome of a push to several nodes; a silent node answered neither the push nor a call."""
+
+    ACKNOWLEDGED = auto()
+    REFUSED = auto()
+    SILENT = auto()
+
+
 def link_between(own: NodeRecord, failure_domain: str, region: str) -> Link:
     """Return the link from the own node to a node in a failure domain and region."""
     if failure_domain == own.failure_domain:
@@ -173,6 +194,8 @@
         Called with the record of this node that a peer had before it received this node's `Join`.
     status_problems : Callable[[], tuple of str]
         Returns the problems to report in the status of this node.
+    store_contact_age_s : Callable[[], float or None]
+        Returns the seconds since the store last answered a read of the table; None before that.
     """
 
     def __init__(
@@ -208,6 +231,10 @@
         self._was_reader = False
         self._fallback_reader = False
         self._fallback_delay_s = rng.uniform(0.0, READER_FALLBACK_JITTER_S)
+        self._election = ReaderElection(
+            own.node_id, settings.watch_wait_s + settings.store_timeout_s + CONTACT_SLACK_S
+        )
+        self._catch_up_task: asyncio.Task[object] | None = None
         self._pushed_version = holder.held_version
         self._notified_change_count = view.change_count
         self._notify_handle: asyncio.TimerHandle | None = None
@@ -217,6 +244,7 @@
         self.on_view_changed: Callable[[], None] | None = None
         self.on_previous_record: Callable[[NodeRecord], None] | None = None
         self.status_problems: Callable[[], tuple[str, ...]] = tuple
+        self.store_contact_age_s: Callable[[], float | None] = lambda: None
 
     # Life cycle
 
@@ -233,6 +261,7 @@
             self._cross_domain_sync_loop,
             self._push_loop,
             self._seed_loop,
+            self._election_loop,
         ):
             self._spawn(loop())
 
@@ -255,10 +284,11 @@
         await self._channels.close()
         await self._server.close()
 
-    def _spawn(self, work: Coroutine[Any, Any, object]) -> None:
+    def _spawn(self, work: Coroutine[Any, Any, object]) -> asyncio.Task[object]:
         task = asyncio.create_task(work)
         self._tasks.add(task)
         task.add_done_callback(self._on_task_done)
+        return task
 
     def _on_task_done(self, task: asyncio.Task[object]) -> None:
         self._tasks.discard(task)
@@ -278,12 +308,30 @@
         return self._joined
 
     def is_reader(self) -> bool:
-        """Tell whether this node watches the store and synchronises with the other domains."""
+        """Tell whether this node synchronises with the other domains and may read the store."""
         if not self._joined or self._view.own.state in (NodeState.LEAVING, NodeState.LEFT):
             return False
         readers = self._view.readers_of(self._view.own.failure_domain)
         return self._own_id in readers or self._fallback_reader
 
+    def store_reader_place(self) -> int | None:
+        """Return the place of this node among the nodes of its region that read the store.
+
+        Returns
+        -------
+        int or None
+            0 for the first; None if this node does not read the store.
+        """
+        if not self.is_reader():
+            return None
+        if self._fallback_reader:
+            return READERS_PER_REGION
+        return self._election.place(candidates(self._view))
+
+    def reads_store(self) -> bool:
+        """Tell whether this node reads the table from the store."""
+        return self.store_reader_place() is not None
+
     def publish(
         self, state: NodeState | None = None, targets: tuple[Target, ...] | None = None
     ) -> NodeRecord:
@@ -303,19 +351,28 @@
         await asyncio.gather(*(self._call(peer, push) for peer in peers))
 
     async def replicate(self) -> bool:
-        """Push the held version to two nodes.
+        """Push the held version to two nodes, nodes of the own failure domain first.
 
         Returns
         -------
         bool
-            Whether one of them acknowledged the version or no other node is known.
+            Whether one of them acknowledged the version or no other node is reachable. A node that
+            is alone still has to follow the store.
         """
-        peers = self._sample_nearest(REPLICA_COUNT)
-        if not peers:
-            return True
         version = self._holder.held_version
         deltas = self._holder.deltas_since(self._pushed_version) or ()
-        return await self._push_until_held(peers, Push(self._own_id, deltas=deltas), version)
+        push = Push(self._own_id, deltas=deltas)
+        outcomes = []
+        for scope in Scope:
+            peers = self._view.sample(self._rng, scope, REPLICA_COUNT)
+            outcomes.append(await self._push_until_held(peers, push, version))
+            if outcomes[-1] is _Replication.ACKNOWLEDGED:
+                return True
+        return _Replication.REFUSED not in outcomes and not self._has_reachable_peer()
+
+    def _has_reachable_peer(self) -> bool:
+        others = (record.node_id for record in self._view.records())
+        return any(i != self._own_id and self._view.is_reachable(i) for i in others)
 
     async def replicate_record(self) -> bool:
         """Push the own record to two nodes.
@@ -326,24 +383,28 @@
             Whether one of them acknowledged the record; False when no other node is known.
         """
         peers = self._sample_nearest(REPLICA_COUNT)
-        return await self._push_until_held(peers, Push(self._own_id, records=(self._view.own,)), 0)
+        push = Push(self._own_id, records=(self._view.own,))
+        return await self._push_until_held(peers, push, 0) is _Replication.ACKNOWLEDGED
 
     async def _push_until_held(
         self, peers: tuple[NodeRecord, ...], push: Push, version: int
-    ) -> bool:
-        """Push to all of `peers`; return True once one replies that it holds at least `version`."""
-        results = asyncio.Queue[bool]()
+    ) -> _Replication:
+        """Push to all of `peers`, until one replies that it holds at least `version`."""
+        results = asyncio.Queue[int | None]()
 
         async def push_to(peer: NodeRecord) -> None:
-            held_version = await self._push_to(peer, push)
-            results.put_nowait(held_version is not None and held_version >= version)
+            results.put_nowait(await self._push_to(peer, push))
 
         for peer in peers:
             self._spawn(push_to(peer))
+        outcome = _Replication.SILENT
         for _ in peers:
-            if await results.get():
-                return True
-        return False
+            held_version = await results.get()
+            if held_version is not None and held_version >= version:
+                return _Replication.ACKNOWLEDGED
+            if held_version is not None:
+                outcome = _Replication.REFUSED
+        return outcome
 
     def _sample_nearest(self, count: int) -> tuple[NodeRecord, ...]:
         for scope in Scope:
@@ -457,10 +518,26 @@
         for peer in self._view.sample(self._rng, Scope.DOMAIN, fanout):
             self._spawn(self._push_to(peer, push))
         if self.is_reader():
-            own_domain_push = self._own_domain_part(push)
-            if own_domain_push.records or own_domain_push.accusations or batch.has_new_version:
-                for peer in self._peers_in_other_domains():
-                    self._spawn(self._push_to(peer, own_domain_push))
+            self._push_to_other_domains(self._own_domain_part(push), batch.has_new_version)
+
+    def _push_to_other_domains(self, push: Push, has_new_version: bool) -> None:
+        """Push records of the own domain, and a version that was read here, to the other domains.
+
+        Only the nodes that read the store send versions, so that a version crosses a link between
+        regions a small constant number of times.
+        """
+        if has_new_version and self.reads_store():
+            for domain in self._other_domains():
+                self._spawn(self._push_version_to_domain(domain, push))
+        elif push.records or push.accusations:
+            for peer in self._peers_in_other_domains():
+                self._spawn(self._push_to(peer, replace(push, deltas=())))
+
+    async def _push_version_to_domain(self, failure_domain: str, push: Push) -> None:
+        """Push to one node of a failure domain; try others when it does not answer."""
+        for peer in self._view.sample_domain(self._rng, failure_domain, PEERS_TRIED_PER_DOMAIN):
+            if await self._push_to(peer, push) is not None:
+                return
 
     def _push_message(self, batch: Batch) -> Push:
         deltas: tuple[Delta, ...] = ()
@@ -497,12 +574,16 @@
 
     def _peers_in_other_domains(self) -> tuple[NodeRecord, ...]:
         """Choose one node of each other failure domain."""
-        domains = self._view.other_domains(Scope.REGION)
-        domains += self._view.other_domains(Scope.CROSS_REGION)
         return tuple(
-            peer for domain in domains for peer in self._view.sample_domain(self._rng, domain, 1)
+            peer
+            for domain in self._other_domains()
+            for peer in self._view.sample_domain(self._rng, domain, 1)
         )
 
+    def _other_domains(self) -> tuple[str, ...]:
+        same_region = self._view.other_domains(Scope.REGION)
+        return same_region + self._view.other_domains(Scope.CROSS_REGION)
+
     async def _push_to(self, peer: NodeRecord, push: Push) -> int | None:
         outcome = await self._call(peer, push)
         if not isinstance(outcome, Replied):
@@ -510,8 +591,15 @@
         held_version: int = outcome.message.held_version
         if held_version < self._holder.held_version:
             return await self._send_missing_versions(peer, held_version)
+        self._catch_up_with(peer, held_version)
         return held_version
 
+    def _catch_up_with(self, peer: NodeRecord, held_version: int) -> None:
+        """Ask a peer that holds a newer version for it, unless this node is already asking one."""
+        asking = self._catch_up_task is not None and not self._catch_up_task.done()
+        if held_version > self._holder.held_version and not asking:
+            self._catch_up_task = self._spawn(self._sync_once(peer))
+
     async def _send_missing_versions(self, peer: NodeRecord, held_version: int) -> int | None:
         """Send a peer the versions after `held_version`; return the version that it holds then.
 
@@ -703,6 +791,31 @@
         )
         return isinstance(outcome, Replied) and outcome.message.node_id == node_id
 
+    # Nodes that read the store
+
+    async def _election_loop(self) -> None:
+        while True:
+            await asyncio.sleep(self._jittered(CHECK_INTERVAL_S))
+            if not self.is_reader():
+                continue
+            ids = self._election.to_check(candidates(self._view))
+            peers = [record for node_id in ids if (record := self._view.get(node_id)) is not None]
+            ages = await asyncio.gather(*(self._ask_store_contact_age(peer) for peer in peers))
+            read_before = self.reads_store()
+            self._election.set_contact_ages(
+                dict(zip((peer.node_id for peer in peers), ages, strict=True))
+            )
+            if self.reads_store() and not read_before:
+                log.info(EventName.STORE_READING_TAKEN_OVER, node=self._own_id, checked=len(peers))
+
+    async def _ask_store_contact_age(self, peer: NodeRecord) -> float | None:
+        outcome = await self._call(peer, Ping(self._own_id))
+        if not isinstance(outcome, Replied) or outcome.message.node_id != peer.node_id:
+            return None
+        pong: Pong = outcome.message
+        self._catch_up_with(peer, pong.held_version)
+        return pong.store_contact_age_s
+
     # Synchronisation with the other failure domains
 
     async def _cross_domain_sync_loop(self) -> None:
@@ -739,15 +852,17 @@
         if self._seeds is None:
             return
         registered = False
+        intervals = 0
         while True:
-            if self.is_reader():
+            intervals = intervals + 1 if self.reads_store() else 0
+            if intervals > INTERVALS_BEFORE_REGISTRATION:
                 registered = (
                     await self._seeds.register(self._view.own.control_address) or registered
                 )
                 await self._join_unknown_seeds()
                 await asyncio.sleep(self._jittered(SEED_REFRESH_INTERVAL_S))
                 continue
-            if registered:
+            if registered and not intervals:
                 await self._seeds.unregister()
                 registered = False
             await asyncio.sleep(self._settings.sync_interval_s)
@@ -952,7 +1067,8 @@
 
     @_handle.register
     async def _(self, request: Ping) -> Pong:
-        return Pong(self._own_id, self._holder.held_version)
+        age_s = self.store_contact_age_s() if self.reads_store() else None
+        return Pong(self._own_id, self._holder.held_version, age_s)
 
     @_handle.register
     async def _(self, request: Join) -> JoinReply | Busy | Declined:
--- a/jaypost/joining.py
+++ b/jaypost/joining.py
@@ -40,6 +40,9 @@
 FAILED_ROUNDS_BEFORE_FOUNDING = 2
 # Each retry delay is random, up to this multiple of the one before (decorrelated jitter).
 BACKOFF_FACTOR = 3.0
+# A node whose configured seeds are running but have not joined yet waits for them this long before
+# it looks for other seeds in the store. The configured seeds look there at once.
+SEEDS_JOINING_WAIT_S = 2.0
 # Bounds of the random pause after a node declined because it has not joined yet. Nodes that were
 # killed together are all in this state. If two of them found a fleet at the same time, an
 # invitation merges the fleets; see `Gossip._invite_declined`.
@@ -184,7 +187,9 @@
         Whether there was any join candidate or seed to try.
     store_answered : bool
         Whether the store returned its seeds, or the node has no store. False when the store was
-        not asked because a join candidate had replied.
+        not asked because a join candidate or a configured seed had replied.
+    store_asked : bool
+        Whether the seeds in the store were read.
     """
 
     reply: JoinReply | None
@@ -192,6 +197,7 @@
     joining: bool
     seeds_tried: bool
     store_answered: bool
+    store_asked: bool = True
 
 
 class Joiner:
@@ -251,8 +257,10 @@
         await asyncio.sleep(self._rng.uniform(0.0, self._settings.join_jitter_s))
         delay_s = self._settings.store_backoff_min_s
         failed_rounds = 0
+        clock = asyncio.get_running_loop().time
+        waits_for_seeds_until = clock() + SEEDS_JOINING_WAIT_S
         while True:
-            result = await self._run_round()
+            result = await self._run_round(clock() < waits_for_seeds_until)
             if result.reply is not None:
                 return await self._ask_for_versions(result.reply)
             if result.busy_delay_s is None and result.store_answered:
@@ -262,33 +270,41 @@
             if result.busy_delay_s is not None:
                 delay_s = self._next_delay(delay_s)
                 await asyncio.sleep(max(delay_s, result.busy_delay_s))
-            elif result.joining and result.store_answered:
+            elif result.joining and (result.store_answered or not result.store_asked):
                 await self._wait(self._rng.uniform(*JOINING_PEER_PAUSE_RANGE_S))
             else:
                 delay_s = self._next_delay(delay_s)
                 await self._wait(delay_s)
 
-    async def _run_round(self) -> _Round:
-        """Try the join candidates, then the seeds in the store and in the settings."""
+    async def _run_round(self, waits_for_seeds: bool) -> _Round:
+        """Try the join candidates and the configured seeds, then those in the store.
+
+        The store is not asked if `waits_for_seeds` and a configured seed of another node is
+        running: in a large fleet that starts as a whole, each node would read the store again and
+        again until the first one has joined.
+        """
         candidates = self._nearest_first(self._take_join_candidates())
-        candidate_attempt = await self._join_first_available(candidates)
-        if candidate_attempt.reply is not None:
-            return _Round(candidate_attempt.reply, None, False, True, False)
-        seeds_in_store = await self._seeds.read() if self._seeds is not None else ()
-        configured = (Seed("", address) for address in self._settings.seeds)
-        seeds = self._nearest_first((*(seeds_in_store or ()), *configured))
-        seed_attempt = await self._join_first_available(seeds)
-        busy_delays_s = [
-            item.busy_delay_s
-            for item in (candidate_attempt, seed_attempt)
-            if item.busy_delay_s is not None
+        configured = self._nearest_first([Seed("", item) for item in self._settings.seeds])
+        known = [*candidates, *configured]
+        attempt = await self._join_first_available(known)
+        if attempt.reply is not None:
+            return _Round(attempt.reply, None, False, True, False, store_asked=False)
+        is_seed = self._view.own.control_address in self._settings.seeds
+        if waits_for_seeds and configured and attempt.joining and not is_seed:
+            return _Round(None, attempt.busy_delay_s, True, True, False, store_asked=False)
+        in_store = await self._seeds.read() if self._seeds is not None else ()
+        tried = {seed.address for seed in known[:PEERS_TO_ASK]}
+        seeds = self._nearest_first([item for item in in_store or () if item.address not in tried])
+        store_attempt = await self._join_first_available(seeds)
+        delays_s = [
+            item.busy_delay_s for item in (attempt, store_attempt) if item.busy_delay_s is not None
         ]
         return _Round(
-            seed_attempt.reply,
-            min(busy_delays_s, default=None),
-            candidate_attempt.joining or seed_attempt.joining,
-            bool(candidates or seeds),
-            seeds_in_store is not None,
+            store_attempt.reply,
+            min(delays_s, default=None),
+            attempt.joining or store_attempt.joining,
+            bool(known or seeds),
+            in_store is not None,
         )
 
     def _next_delay(self, delay_s: float) -> float:
--- a/jaypost/messages.py
+++ b/jaypost/messages.py
@@ -186,10 +186,22 @@
 
 @dataclass(frozen=True, slots=True)
 class Pong:
-    """Reply to `Ping`, with the identifier of the node and the version that it holds."""
+    """Reply to `Ping`.
+
+    Parameters
+    ----------
+    node_id : str
+        Identifier of the node.
+    held_version : int
+        Version that it holds.
+    store_contact_age_s : float or None
+        Time in seconds since the store last answered a read of the table by the node; None when
+        the node does not read the table from the store.
+    """
 
     node_id: str
     held_version: int
+    store_contact_age_s: float | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/jaypost/readers.py
+++ b/jaypost/readers.py
@@ -27,6 +27,10 @@
 DAMAGED_RETRY_DELAY_S = 30.0
 # Pause between two reads, so that a store that changes all the time is not read in a tight loop.
 MIN_READ_PAUSE_S = 0.05
+# Pauses after a new version, of the first reader of a region and of the others. Versions that are
+# replaced within the pause are skipped.
+FIRST_READER_PAUSE_S = 0.25
+OTHER_READER_PAUSE_S = 1.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -82,8 +86,9 @@
     replicate : Callable[[], Awaitable[bool]]
         Sends the held version to other nodes. Returns whether one of them acknowledged it or
         there is no other node.
-    is_reader : Callable[[], bool]
-        Returns whether this node reads the store for its failure domain.
+    reader_place : Callable[[], int or None]
+        Returns the place of this node among the readers of its region, 0 for the first; None if it
+        does not read the store.
     settings : Settings
         Settings of the node.
     source : TableSource
@@ -109,7 +114,7 @@
         store: Store,
         holder: ConfigHolder,
         replicate: Callable[[], Awaitable[bool]],
-        is_reader: Callable[[], bool],
+        reader_place: Callable[[], int | None],
         settings: Settings,
         *,
         source: TableSource = HEAD_SOURCE,
@@ -120,7 +125,7 @@
         self._store = store
         self._holder = holder
         self._replicate = replicate
-        self._is_reader = is_reader
+        self._reader_place = reader_place
         self._settings = settings
         self._source = source
         self._rng = rng or random.Random()
@@ -170,7 +175,7 @@
     async def _run(self) -> None:
         while True:
             try:
-                if self._is_reader():
+                if self._reader_place() is not None:
                     await self._read_cycle()
                 elif self._needs_replication():
                     # Other nodes do not offer a version that this node already holds, so it has to
@@ -202,8 +207,15 @@
         elif self._clock() - started >= self._settings.store_backoff_min_s:
             # The watch has already waited as long as the shortest backoff.
             progress = True
+        if progress and isinstance(outcome, HeadRead):
+            await self._sleep(self._pause_after_change_s())
         await self._pause(progress)
 
+    def _pause_after_change_s(self) -> float:
+        first = self._reader_place() == 0
+        pause_s = FIRST_READER_PAUSE_S if first else OTHER_READER_PAUSE_S
+        return min(pause_s, self._settings.store_backoff_max_s)
+
     async def _pause(self, progress: bool) -> None:
         """Pause briefly after progress, which resets the backoff; back off otherwise."""
         if progress:
--- a/jaypost/store_connections.py
+++ b/jaypost/store_connections.py
@@ -20,6 +20,8 @@
 # A listing of 7,000 small values fits; a larger body is treated as an error of the store.
 MAX_BODY_BYTES = 32 << 20
 READ_BYTES = 64 << 10
+# Longest time in which a response may arrive after its first bytes, as a multiple of the timeout.
+MAX_TRANSFER_TIMEOUTS = 10
 REVISION_HEADER = b"x-revision"
 
 
@@ -116,7 +118,8 @@
     address : Address
         Address of the store.
     timeout_s : float
-        Timeout of a call in seconds; a watch has its waiting time in addition.
+        Time in seconds without any progress after which a call fails; a watch has its waiting time
+        in addition. A large response on a narrow link may take longer while bytes arrive.
     on_call_ended : Callable[[StoreCallEnded], None] or None
         Called with the result of each call, for metrics.
 
@@ -173,11 +176,11 @@
         if not self._running:
             return call.failure("the store client is closed")
         try:
-            async with asyncio.timeout(self._timeout_s + call.wait_s):
+            async with asyncio.timeout(self._timeout_s + call.wait_s) as time_limit:
                 if call.wait_s:
-                    return await self._exchange(call)
+                    return await self._exchange(call, time_limit)
                 async with self._connection_slots:
-                    return await self._exchange(call)
+                    return await self._exchange(call, time_limit)
         except TimeoutError:
             # If the network path of the pooled connections no longer delivers data, all of them
             # would time out; new connections may work.
@@ -186,12 +189,12 @@
         except _CALL_ERRORS as error:
             return call.failure(f"{type(error).__name__}: {error}")
 
-    async def _exchange(self, call: StoreCall) -> StoreResponse:
+    async def _exchange(self, call: StoreCall, time_limit: asyncio.Timeout) -> StoreResponse:
         connection = self._take_idle() or await self._connect()
         self._busy.add(connection)
         try:
             await self._write_request(connection, call)
-            response = await self._read_response(connection)
+            response = await self._read_response(connection, time_limit)
         except BaseException:
             connection.writer.close()
             raise
@@ -241,7 +244,12 @@
         self.sent_bytes += len(data)
         await connection.writer.drain()
 
-    async def _read_response(self, connection: _Connection) -> StoreResponse:
+    async def _read_response(
+        self, connection: _Connection, time_limit: asyncio.Timeout
+    ) -> StoreResponse:
+        """Read a response; each part that arrives extends the timeout, up to a limit."""
+        clock = asyncio.get_running_loop().time
+        transfer_deadline: float | None = None
         head: h11.Response | None = None
         body = bytearray()
         while True:
@@ -250,6 +258,9 @@
                 data = await connection.reader.read(READ_BYTES)
                 if not data and head is None:
                     raise ConnectionError("the store closed the connection without a response")
+                if transfer_deadline is None:
+                    transfer_deadline = clock() + MAX_TRANSFER_TIMEOUTS * self._timeout_s
+                time_limit.reschedule(min(clock() + self._timeout_s, transfer_deadline))
                 self.received_bytes += len(data)
                 connection.protocol.receive_data(data)
             elif isinstance(event, h11.Response):
--- a/jaypost/table.py
+++ b/jaypost/table.py
@@ -203,6 +203,40 @@
     return tuple(steps)
 
 
+def overlapping_deltas(deltas: Iterable[Delta], version: int) -> tuple[Delta, ...]:
+    """Return deltas that lead to newer versions and may start from versions before `version`.
+
+    A node that skipped a version has no delta that starts from it. A delta from an earlier version
+    carries whole rows, so it can be applied as well, unless it lacks a row that changed before
+    `version` and changed back later; the digest shows that. Each step is the delta that leads to
+    the newest version.
+
+    Returns
+    -------
+    tuple of Delta
+        Steps whose first ``base_version`` is at most `version`; empty when no delta applies.
+    """
+    steps: list[Delta] = []
+    remaining = [delta for delta in deltas if delta.version > version]
+    while usable := [d for d in remaining if d.base_version <= version < d.version]:
+        step = max(usable, key=lambda delta: delta.version)
+        steps.append(step)
+        version = step.version
+    return tuple(steps)
+
+
+def apply_overlapping_deltas(table: Table, deltas: Sequence[Delta]) -> Table | None:
+    """Apply deltas of `overlapping_deltas`; None when the rows do not match the last digest."""
+    rows_by_service = table.rows_by_service
+    for delta in deltas:
+        if any(change.row and change.row.service != change.service for change in delta.rows):
+            return None
+        rows_by_service = apply_row_changes(rows_by_service, delta.rows)
+    if digest(rows_by_service) != deltas[-1].digest:
+        return None
+    return Table(deltas[-1].version, rows_by_service, deltas[-1].digest)
+
+
 def delta_between(old: Table, new: Table, author: str, at_ms: int) -> Delta:
     """Return the delta from `old` to `new`, for a source that provides only whole versions.
 
--- a/tests/test_config.py
+++ b/tests/test_config.py
@@ -309,3 +309,33 @@
     database=None,
 )
 TestDisorderedOffers = DisorderedOffers.TestCase
+
+
+def whole_delta(old, new):
+    """Return the delta that a reader makes from one version to another, skipping those between."""
+    return table.delta_between(TABLES[old], TABLES[new], "op", 0)
+
+
+@pytest.mark.parametrize(
+    ("held", "steps", "outcome"),
+    [
+        (1, [(0, 2)], Applied(2)),
+        (1, [(0, 2), (2, 5)], Applied(5)),
+        (2, [(1, 2), (1, 5)], Gap(2)),  # the row of a changed at version 2 and changed back
+        (4, [(2, 5)], Gap(4)),
+        (1, [(2, 4)], Gap(1)),
+    ],
+    ids=["one step", "two steps", "other steps", "row changed back", "starts later"],
+)
+def test_deltas_from_a_node_that_skipped_the_held_version(held, steps, outcome):
+    """Storm of versions that readers skip differently: guards against rows of no version (P3)."""
+    config = new_holder()
+    offer_table(config, held)
+    offered = config.offer(OfferDeltas(tuple(whole_delta(*step) for step in steps)))
+    assert offered == outcome
+    version = outcome.version if isinstance(outcome, Applied) else held
+    assert config.snapshot.rows_by_service == TABLES[version].rows_by_service
+    if version > held:
+        follower = new_holder()
+        offer_table(follower, held)
+        assert follower.offer(OfferDeltas(config.deltas_since(held))) == outcome
--- /dev/null
+++ b/tests/test_elections.py
@@ -0,0 +1,81 @@
+"""Which nodes of a region read the table from the store."""
+
+from __future__ import annotations
+
+import pytest
+
+from jaypost.elections import ReaderElection, candidates
+from jaypost.records import NodeState
+from jaypost.view import MembershipView
+from tests.gossip_fleet import make_record
+
+NOW = 100.0
+CHOSEN = ("a", "b", "c", "d")
+
+
+def view_of(domains: int, nodes_per_domain: int = 5) -> MembershipView:
+    """Return a view with some domains in the region of the own node and one in another."""
+    records = [
+        make_record(f"d{domain}n{node}", f"d{domain}", "r1" if domain < domains else "r2")
+        for domain in range(domains + 1)
+        for node in range(nodes_per_domain)
+    ]
+    view = MembershipView(records[0], NOW)
+    view.merge(records[1:], NOW)
+    return view
+
+
+@pytest.mark.parametrize("domains", [1, 2, 4])
+def test_all_nodes_of_a_region_choose_the_same_candidates_from_different_domains(
+    domains: int,
+) -> None:
+    """Guards against reads and region link bytes that grow with the domains or the fleet."""
+    view = view_of(domains)
+    chosen = candidates(view)
+    assert len(chosen) == min(4, 2 * domains)
+    assert len({node_id[:2] for node_id in chosen[:2]}) == min(2, domains)
+    other = MembershipView(make_record("d0n3", "d0", "r1"), NOW)
+    other.merge(tuple(view.records()), NOW)
+    assert candidates(other) == chosen
+
+
+def test_domains_that_are_cut_off_have_their_own_readers() -> None:
+    """Guards against a domain that counts on a reader that it cannot reach."""
+    view = view_of(4)
+    view.set_cut_domains({f"d{domain}": NOW for domain in (1, 2, 3)})
+    assert {node_id[:2] for node_id in candidates(view)} == {"d0"}
+
+
+def test_leaving_nodes_are_not_candidates() -> None:
+    """Guards against a version that waits for a node which is shutting down."""
+    view = view_of(2)
+    first = candidates(view)[0]
+    domain = first[:2]
+    left = make_record(first, domain, "r1", stamp=view.get(first).stamp, state=NodeState.LEAVING)
+    later = left.stamp.__class__(left.stamp.incarnation, left.stamp.sequence + 1)
+    view.merge((make_record(first, domain, "r1", stamp=later, state=NodeState.LEAVING),), NOW)
+    assert first not in candidates(view)
+
+
+@pytest.mark.parametrize(
+    ("own", "ages", "place"),
+    [
+        ("a", {}, 0),
+        ("b", {}, 1),
+        ("c", {}, None),
+        ("c", {"a": 0.1, "b": 2.0}, None),
+        ("c", {"a": None, "b": 2.0}, 1),
+        ("c", {"a": None, "b": 9.0}, 0),
+        ("d", {"a": None, "b": 2.0, "c": 0.1}, None),
+        ("d", {"a": None, "b": None, "c": 0.1}, 1),
+        ("x", {"a": None, "b": None}, None),
+    ],
+)
+def test_candidates_take_over_from_those_without_contact_with_the_store(
+    own: str, ages: dict[str, float | None], place: int | None
+) -> None:
+    """Guards against a region without a reader, and against more readers than needed."""
+    election = ReaderElection(own, contact_limit_s=4.0)
+    assert set(ages) <= set(election.to_check(CHOSEN)) or own == "x"
+    election.set_contact_ages(ages)
+    assert election.place(CHOSEN) == place
--- a/tests/test_gossip.py
+++ b/tests/test_gossip.py
@@ -13,7 +13,15 @@
 from jaypost.peers import Busy, Failed, FailureReason, Replied
 from jaypost.records import Accusation, Address, NodeState, Stamp, TargetState
 from jaypost.view import MembershipView
-from tests.gossip_fleet import FIRST_STAMP, FakeStore, Fleet, Node, eventually, make_record
+from tests.gossip_fleet import (
+    FIRST_STAMP,
+    FakeSeeds,
+    FakeStore,
+    Fleet,
+    Node,
+    eventually,
+    make_record,
+)
 
 ONE_DOMAIN = (("d1", "r1"),)
 TWO_DOMAINS = (("d1", "r1"), ("d2", "r1"))
@@ -104,6 +112,28 @@
     assert {node.node_id: node.view.own.stamp for node in others} == stamps
 
 
+async def test_fleet_that_starts_as_a_whole_reads_the_seeds_in_the_store_few_times(
+    fleet: Fleet, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Whole fleet starts at once: guards against store calls that grow with the fleet."""
+    reads: list[str] = []
+    read = FakeSeeds.read
+
+    async def counted_read(seeds: FakeSeeds) -> object:
+        reads.append(seeds.node_id)
+        return await read(seeds)
+
+    monkeypatch.setattr(FakeSeeds, "read", counted_read)
+    seed = await fleet.add("seed")
+    others = [await fleet.add(f"n{i:02}", seeds=(seed.address,)) for i in range(12)]
+    joins = [asyncio.create_task(node.join()) for node in others]
+    await asyncio.sleep(0.3)
+    assert not reads
+    await asyncio.gather(seed.join(), *joins)
+    await eventually(lambda: converged(fleet) and len(seed.view) == 13)
+    assert len([node_id for node_id in reads if node_id != "seed"]) <= 3
+
+
 async def test_crashed_readers_are_replaced(fleet: Fleet) -> None:
     """Guards against a failure domain in which no node watches the store after a crash."""
     await fleet.add_joined(8)
@@ -188,6 +218,62 @@
     assert any(node.holder.held_version == 1 for node in fleet.nodes[1:]) == (peers > 0 and not cut)
 
 
+async def test_version_is_replicated_in_another_domain_when_the_own_one_crashed(
+    fleet: Fleet,
+) -> None:
+    """Guards against the last node of a failure domain staying on an old version for good."""
+    await fleet.add_joined(6, TWO_DOMAINS)
+    await eventually(lambda: converged(fleet))
+    last, *crashed = split_by_domain(fleet)[0]
+    fleet.isolated_addresses.update(node.address for node in crashed)
+    last.holder.held_version = 1
+    assert await last.gossip.replicate()
+    d2_nodes = split_by_domain(fleet)[1]
+    assert any(node.holder.held_version == 1 for node in d2_nodes)
+
+
+async def test_isolated_node_follows_the_store_once_it_knows_that_it_is_alone(
+    fleet: Fleet,
+) -> None:
+    """Guards against a node that is cut off from all others and never uses a new version."""
+    await fleet.add_joined(3)
+    alone, *others = fleet.nodes
+    fleet.isolated_addresses.add(alone.address)
+    alone.holder.held_version = 1
+    await eventually(lambda: not any(reachable(alone, others)))
+    assert await alone.gossip.replicate()
+
+
+async def test_standby_reads_while_a_reader_has_no_contact_with_the_store(fleet: Fleet) -> None:
+    """Guards against a region whose readers the store refuses, and too many reads afterwards."""
+    await fleet.add_joined(9, (("d1", "r1"), ("d2", "r1"), ("d3", "r1")))
+    age_by_id = dict.fromkeys((node.node_id for node in fleet.nodes), 0.1)
+    for node in fleet.nodes:
+        node.gossip.store_contact_age_s = lambda node_id=node.node_id: age_by_id[node_id]
+
+    def reading() -> set[str]:
+        return {node.node_id for node in fleet.nodes if node.gossip.reads_store()}
+
+    await eventually(lambda: converged(fleet) and len(reading()) == 2)
+    first_choice = reading()
+    age_by_id.update(dict.fromkeys(first_choice, 60.0))
+    await eventually(lambda: len(reading() - first_choice) == 2)
+    age_by_id.update(dict.fromkeys(first_choice, 0.1))
+    await eventually(lambda: reading() == first_choice)
+
+
+async def test_node_that_pushes_to_a_newer_one_asks_it_for_the_version(fleet: Fleet) -> None:
+    """Guards against a node that learns of a newer version and waits for its next sync."""
+    await fleet.add_joined(2)
+    outdated, newer = fleet.nodes
+    await eventually(lambda: converged(fleet))
+    newer.holder.held_version = 3  # without a push of its own
+    await outdated.gossip._push_to(newer.view.own, Push(outdated.node_id))
+    async with asyncio.timeout(20):
+        await outdated.gossip._catch_up_task
+    assert outdated.holder.held_version == 3
+
+
 async def test_status_covers_nodes_that_do_not_answer(fleet: Fleet) -> None:
     """Guards against a status for operators that omits nodes without notice."""
     await fleet.add_joined(6, TWO_REGIONS)
--- a/tests/test_platform_store.py
+++ b/tests/test_platform_store.py
@@ -97,6 +97,29 @@
     assert server.calls_by_kind["kv-key"] == 1
 
 
+async def test_client_that_falls_behind_reads_only_the_newest_value(
+    server: PlatformStoreServer, client: KvStore
+) -> None:
+    """Storm of versions behind a narrow link: replaced values are transferred at most once.
+
+    Guards against a reader that asks for all values since the last one again and again, more of
+    them each time, until the store discards them.
+    """
+    await server.write("op/config", b"1")
+    found = await client.watch("op/config", 0, 0.0)
+    assert isinstance(found, Found)
+    await server.write("op/config", b"2")
+    await server.write("op/config", b"3")
+    behind = await client.watch("op/config", found.revision, 1.0)
+    assert isinstance(behind, Found)
+    await server.write("op/config", b"4")
+    newest = await client.watch("op/config", behind.revision, 1.0)
+    assert isinstance(newest, Found)
+    assert newest.value == b"4"
+    assert server.calls_by_kind["kv-watch"] == 1
+    assert await client.watch("op/config", newest.revision, 0.05) == Unchanged(newest.revision)
+
+
 @pytest.mark.parametrize("changed", [False, True])
 async def test_watch_reads_the_key_when_history_is_discarded(
     server: PlatformStoreServer, client: KvStore, changed: bool
--- a/tests/test_readers.py
+++ b/tests/test_readers.py
@@ -37,7 +37,7 @@
             store,
             self.holder,
             self.replicate,
-            lambda: self.is_reader,
+            lambda: 0 if self.is_reader else None,
             SETTINGS,
             rng=random.Random(1),
             **options,
@@ -327,7 +327,7 @@
         client,
         holder,
         replicate,
-        lambda: True,
+        lambda: 0,
         SETTINGS,
         source=TableSource("doc", decode_whole_version),
     )
@@ -343,9 +343,11 @@
     first, second = holder.deltas_since(3)
     assert [first.base_version, first.version, second.version] == [3, 7, 12]
     assert [change.service for change in second.rows] == ["a"]
-    assert holder.deltas_since(5) is None
-    behind = ConfigHolder(SETTINGS, "n2")
-    behind.offer(OfferDeltas(holder.deltas_since(0)))
-    assert behind.in_force_version == 12
+    for version_held in (0, 5):  # the first holder skipped version 5
+        behind = ConfigHolder(SETTINGS, "n2")
+        behind.offer(OfferTable(decode_whole_version(str(version_held).encode())))
+        behind.offer(OfferDeltas(holder.deltas_since(version_held)))
+        assert behind.in_force_version == 12
+        assert behind.held_table == holder.held_table
     await client.close()
     await server.close()
--- a/tests/test_store.py
+++ b/tests/test_store.py
@@ -220,3 +220,35 @@
     await client.close()
     process.terminate()
     assert await process.wait() == 0
+
+
+@pytest.mark.parametrize(
+    ("pause_s", "parts", "found"),
+    [(0.15, 6, True), (0.15, 1, True), (0.6, 2, False), (0.05, 100, False)],
+    ids=["slow link", "short answer", "stalled", "without end"],
+)
+async def test_call_fails_without_progress_but_not_on_a_slow_link(pause_s, parts, found):
+    """Large value on a narrow link: guards against reading its first part again and again."""
+    tasks = []
+
+    async def answer(reader, writer):
+        tasks.append(asyncio.current_task())
+        with contextlib.closing(writer):
+            await reader.readuntil(b"\r\n\r\n")
+            writer.write(b"HTTP/1.1 200 OK\r\nx-revision: 1\r\n")
+            writer.write(b"content-length: %d\r\n\r\n" % parts)
+            for _ in range(parts):
+                await asyncio.sleep(pause_s)
+                writer.write(b"v")
+
+    server = await asyncio.start_server(answer, "127.0.0.1", 0)
+    timeout_s = 0.4 if pause_s > 0.1 else 0.1
+    client = StoreClient(Address("127.0.0.1", server.sockets[0].getsockname()[1]), timeout_s)
+    await client.start()
+    outcome = await client.get("k")
+    assert outcome == Found(b"v" * parts, 1) if found else isinstance(outcome, StoreFailed)
+    await client.close()
+    server.close()
+    for task in tasks:
+        task.cancel()
+    await asyncio.gather(*tasks, return_exceptions=True)
