--- a/jaypost/daemon.py
+++ b/jaypost/daemon.py
@@ -73,7 +73,7 @@
 # most, and for the last calls.
 TARGET_SERVING_FRACTION = 0.5
 # Time that a starting node waits for its peers to receive a first version, and how often it looks.
-FIRST_VERSION_WAIT_S = 1.0
+FIRST_VERSION_WAIT_S = 2.0
 FIRST_VERSION_CHECK_S = 0.05
 # Timeout of each of the last two steps, notifying the peers and closing the components. Both may
 # wait for a peer that is cut off and never answers.
@@ -230,6 +230,7 @@
             source=self._integration.make_table_source(node_settings),
         )
         self.gossip.store_contact_age_s = self._store_contact_age_s
+        self.gossip.store_round_trip_s = lambda: self.store.round_trip_s
         await self.gossip.start()
 
     def _store_contact_age_s(self) -> float | None:
@@ -319,8 +320,8 @@
         No version comes into force until the newest one is known, so that a restarted node never
         uses an older version than before.
         """
-        self._spawn(self._load_departures())
         outcome = await self.gossip.join()
+        self._spawn(self._load_departures())
         self._not_ready_reason = "the newest table version is not known yet"
         if not (isinstance(outcome, Joined) and await self._has_version_of_peers(outcome)):
             read = await self.reader.read_once()
--- a/jaypost/elections.py
+++ b/jaypost/elections.py
@@ -1,19 +1,24 @@
 """Which nodes of a region read the table from the store.
 
 Each failure domain has a few readers, which exchange state with the other domains. Only some of
-the readers of a region read the store, because each read counts there and each version crosses the
-link between regions once for each of them. The first candidates always read. The others check them
-and read while one of these is not in contact with the store.
+the readers of a region read the store, because each read counts there. The first candidates read.
+The others check them and read while one of these is not in contact with the store.
+
+A region that is far from the store does not read it while a nearer region does: the nearer one
+sends it only what changes, which is a small part of the table. Its first candidates check the
+readers of the nearer region, and read the store themselves while none of these is in contact.
 
 The module does no input or output, and time is passed in.
 """
 
 from __future__ import annotations
 
-from collections.abc import Sequence
+from collections.abc import Mapping, Sequence
+from dataclasses import dataclass
 
 import xxhash
 
+from jaypost.messages import StoreContact
 from jaypost.view import MembershipView, Scope
 
 # Nodes of a region that read the store while all are in contact with it. Two, in different failure
@@ -21,21 +26,53 @@
 READERS_PER_REGION = 2
 # Nodes that may read for a region: the readers and those that take over from them.
 CANDIDATES_PER_REGION = 4
-# Interval at which a candidate checks those before it.
+# Interval at which a candidate checks others.
 CHECK_INTERVAL_S = 0.5
+# Another region is nearer to the store if the round trip from there is at most this fraction of the
+# own one, and shorter by at least this time in seconds.
+NEARER_FRACTION = 0.5
+NEARER_MARGIN_S = 0.01
+
 
+@dataclass(frozen=True, slots=True)
+class Candidates:
+    """Nodes that may read the store, first choice first.
 
-def candidates(view: MembershipView) -> tuple[str, ...]:
-    """Return the nodes that may read the store for the region of the own node, first choice first.
+    Parameters
+    ----------
+    own_region : tuple of str
+        Candidates of the region of the own node.
+    other_regions : tuple of str
+        First candidates of the other regions.
+    """
+
+    own_region: tuple[str, ...]
+    other_regions: tuple[str, ...]
+
+
+def candidates(view: MembershipView) -> Candidates:
+    """Return the nodes that may read the store.
 
     The first reader of each failure domain comes before the second of any. Domains that are cut
-    off choose their own, and the rest of the region does not count on them.
+    off choose their own, and the others do not count on them.
     """
     own = view.own
-    domains = [own.failure_domain]
-    domains += (name for name in view.other_domains(Scope.REGION) if name not in view.cut_domains())
+    domains_by_region: dict[str, list[str]] = {own.region: [own.failure_domain]}
+    for domain in (*view.other_domains(Scope.REGION), *view.other_domains(Scope.CROSS_REGION)):
+        if domain not in view.cut_domains():
+            domains_by_region.setdefault(view.region_of(domain), []).append(domain)
+    chosen_by_region = {
+        region: _candidates_of(view, region, domains)
+        for region, domains in domains_by_region.items()
+    }
+    own_region = chosen_by_region.pop(own.region)
+    others = (chosen[:READERS_PER_REGION] for _, chosen in sorted(chosen_by_region.items()))
+    return Candidates(own_region, tuple(node_id for chosen in others for node_id in chosen))
+
+
+def _candidates_of(view: MembershipView, region: str, domains: Sequence[str]) -> tuple[str, ...]:
     places = [
-        (place, xxhash.xxh64_intdigest(f"{own.region}\0{node_id}"), node_id)
+        (place, xxhash.xxh64_intdigest(f"{region}\0{node_id}"), node_id)
         for domain in domains
         for place, node_id in enumerate(view.readers_of(domain))
     ]
@@ -58,28 +95,78 @@
         self._own_id = own_id
         self._contact_limit_s = contact_limit_s
         self._failed_ids: frozenset[str] = frozenset()
+        # Time of the last contact of a nearer region with the store; None without such a region.
+        self._nearer_contact_at: float | None = None
 
-    def to_check(self, chosen: Sequence[str]) -> tuple[str, ...]:
-        """Return the candidates that this node has to check: those before it, if it stands by."""
-        if self._own_id not in chosen[READERS_PER_REGION:]:
-            return ()
-        return tuple(chosen[: chosen.index(self._own_id)])
-
-    def set_contact_ages(self, age_by_id: dict[str, float | None]) -> None:
-        """Set the results of the check: seconds since the last contact, None for no reader."""
-        self._failed_ids = frozenset(
-            node_id
-            for node_id, age_s in age_by_id.items()
-            if age_s is None or age_s > self._contact_limit_s
-        )
-
-    def place(self, chosen: Sequence[str]) -> int | None:
-        """Return the place of the own node among the readers, 0 for the first; None if it is none.
+    def to_check(self, chosen: Candidates) -> tuple[str, ...]:
+        """Return the candidates that this node has to check.
 
-        Candidates that have not been checked yet count as readers.
+        These are the candidates before it if it stands by, and the readers of the other regions if
+        it would read otherwise.
+        """
+        own_region = chosen.own_region
+        if self._own_id not in own_region:
+            return ()
+        before = own_region[: own_region.index(self._own_id)]
+        standing_by = len(before) >= READERS_PER_REGION
+        others = chosen.other_regions if self.regional_place(chosen) is not None else ()
+        return (*before, *others) if standing_by else others
+
+    def set_contacts(
+        self,
+        chosen: Candidates,
+        contact_by_id: Mapping[str, StoreContact | None],
+        own_round_trip_s: float | None,
+        now: float,
+    ) -> None:
+        """Set the results of a check.
+
+        Parameters
+        ----------
+        chosen : Candidates
+            The candidates when the check began.
+        contact_by_id : Mapping of str to StoreContact or None
+            Contacts of the checked nodes; None for a node that does not answer or is no reader.
+        own_round_trip_s : float or None
+            Round trip in seconds from this node to the store; None if it is not known.
+        now : float
+            Monotonic time in seconds.
+        """
+        working = {
+            node_id: contact
+            for node_id, contact in contact_by_id.items()
+            if contact is not None and contact.age_s <= self._contact_limit_s
+        }
+        self._failed_ids = frozenset(contact_by_id.keys() - working.keys())
+        nearer_ages_s = [
+            contact.age_s
+            for node_id, contact in working.items()
+            if node_id in chosen.other_regions and _is_nearer(contact, own_round_trip_s)
+        ]
+        self._nearer_contact_at = now - min(nearer_ages_s) if nearer_ages_s else None
+
+    def regional_place(self, chosen: Candidates) -> int | None:
+        """Return the place of the own node among the readers of its region, 0 for the first.
+
+        None if it is none of them. Candidates that have not been checked yet count as readers.
         """
-        if self._own_id not in chosen:
+        if self._own_id not in chosen.own_region:
             return None
-        before = chosen[: chosen.index(self._own_id)]
+        before = chosen.own_region[: chosen.own_region.index(self._own_id)]
         place = sum(node_id not in self._failed_ids for node_id in before)
         return place if place < READERS_PER_REGION else None
+
+    def place(self, chosen: Candidates) -> int | None:
+        """Return `regional_place`, or None while a nearer region reads the store."""
+        return None if self._nearer_contact_at is not None else self.regional_place(chosen)
+
+    def nearer_contact_age_s(self, now: float) -> float | None:
+        """Return the time since the last known contact of a nearer region with the store."""
+        return None if self._nearer_contact_at is None else now - self._nearer_contact_at
+
+
+def _is_nearer(contact: StoreContact, own_round_trip_s: float | None) -> bool:
+    if own_round_trip_s is None or contact.round_trip_s is None:
+        return False
+    limit_s = min(NEARER_FRACTION * own_round_trip_s, own_round_trip_s - NEARER_MARGIN_S)
+    return contact.round_trip_s <= limit_s
--- a/jaypost/gossip.py
+++ b/jaypost/gossip.py
@@ -56,6 +56,7 @@
     StatusReply,
     StatusRequest,
     StatusScope,
+    StoreContact,
     Sync,
     SyncReply,
 )
@@ -196,6 +197,8 @@
         Returns the problems to report in the status of this node.
     store_contact_age_s : Callable[[], float or None]
         Returns the seconds since the store last answered a read of the table; None before that.
+    store_round_trip_s : Callable[[], float or None]
+        Returns the round trip to the store in seconds; None if it is not known.
     """
 
     def __init__(
@@ -245,6 +248,7 @@
         self.on_previous_record: Callable[[NodeRecord], None] | None = None
         self.status_problems: Callable[[], tuple[str, ...]] = tuple
         self.store_contact_age_s: Callable[[], float | None] = lambda: None
+        self.store_round_trip_s: Callable[[], float | None] = lambda: None
 
     # Life cycle
 
@@ -332,6 +336,13 @@
         """Tell whether this node reads the table from the store."""
         return self.store_reader_place() is not None
 
+    def reads_for_region(self) -> bool:
+        """Tell whether this node reads the store, or would if no nearer region did."""
+        if not self.is_reader():
+            return False
+        place = self._election.regional_place(candidates(self._view))
+        return self._fallback_reader or place is not None
+
     def publish(
         self, state: NodeState | None = None, targets: tuple[Target, ...] | None = None
     ) -> NodeRecord:
@@ -796,25 +807,39 @@
     async def _election_loop(self) -> None:
         while True:
             await asyncio.sleep(self._jittered(CHECK_INTERVAL_S))
-            if not self.is_reader():
-                continue
-            ids = self._election.to_check(candidates(self._view))
-            peers = [record for node_id in ids if (record := self._view.get(node_id)) is not None]
-            ages = await asyncio.gather(*(self._ask_store_contact_age(peer) for peer in peers))
-            read_before = self.reads_store()
-            self._election.set_contact_ages(
-                dict(zip((peer.node_id for peer in peers), ages, strict=True))
-            )
-            if self.reads_store() and not read_before:
-                log.info(EventName.STORE_READING_TAKEN_OVER, node=self._own_id, checked=len(peers))
-
-    async def _ask_store_contact_age(self, peer: NodeRecord) -> float | None:
+            if self.is_reader():
+                await self._check_candidates()
+
+    async def _check_candidates(self) -> None:
+        """Check the nodes on which it depends whether this one reads the store."""
+        chosen = candidates(self._view)
+        ids = self._election.to_check(chosen)
+        peers = [record for node_id in ids if (record := self._view.get(node_id)) is not None]
+        contacts = await asyncio.gather(*(self._ask_store_contact(peer) for peer in peers))
+        contact_by_id = dict(zip((peer.node_id for peer in peers), contacts, strict=True))
+        read_before = self.reads_store()
+        self._election.set_contacts(
+            chosen, contact_by_id, self.store_round_trip_s(), time.monotonic()
+        )
+        if self.reads_store() is not read_before:
+            log.info(EventName.STORE_READING_CHANGED, node=self._own_id, reads=not read_before)
+
+    async def _ask_store_contact(self, peer: NodeRecord) -> StoreContact | None:
         outcome = await self._call(peer, Ping(self._own_id))
         if not isinstance(outcome, Replied) or outcome.message.node_id != peer.node_id:
             return None
         pong: Pong = outcome.message
         self._catch_up_with(peer, pong.held_version)
-        return pong.store_contact_age_s
+        return pong.store_contact
+
+    def _reported_store_contact(self) -> StoreContact | None:
+        """Return the contact that keeps other candidates from reading the store, if any."""
+        age_s = self._election.nearer_contact_age_s(time.monotonic())
+        if age_s is None:
+            age_s = self.store_contact_age_s()
+        if age_s is None or not self.reads_for_region():
+            return None
+        return StoreContact(age_s, self.store_round_trip_s())
 
     # Synchronisation with the other failure domains
 
@@ -854,7 +879,7 @@
         registered = False
         intervals = 0
         while True:
-            intervals = intervals + 1 if self.reads_store() else 0
+            intervals = intervals + 1 if self.reads_for_region() else 0
             if intervals > INTERVALS_BEFORE_REGISTRATION:
                 registered = (
                     await self._seeds.register(self._view.own.control_address) or registered
@@ -1067,8 +1092,7 @@
 
     @_handle.register
     async def _(self, request: Ping) -> Pong:
-        age_s = self.store_contact_age_s() if self.reads_store() else None
-        return Pong(self._own_id, self._holder.held_version, age_s)
+        return Pong(self._own_id, self._holder.held_version, self._reported_store_contact())
 
     @_handle.register
     async def _(self, request: Join) -> JoinReply | Busy | Declined:
--- a/jaypost/integration.py
+++ b/jaypost/integration.py
@@ -17,7 +17,15 @@
 
 
 class NodeStore(Store, SeedStore, DepartureStore, Protocol):
-    """Store client with all calls that a node makes."""
+    """Store client with all calls that a node makes.
+
+    Attributes
+    ----------
+    round_trip_s : float or None
+        Shortest time in seconds in which a connection was opened; None before the first.
+    """
+
+    round_trip_s: float | None
 
     async def start(self) -> None:
         """Allow calls; before the start, every call fails."""
--- a/jaypost/logs.py
+++ b/jaypost/logs.py
@@ -52,7 +52,7 @@
     STORE_WENT_BACK = "store_went_back"
     STORE_UNAVAILABLE = "store_unavailable"
     STORE_AVAILABLE = "store_available"
-    STORE_READING_TAKEN_OVER = "store_reading_taken_over"
+    STORE_READING_CHANGED = "store_reading_changed"
     VERSION_IN_FORCE = "version_in_force"
     VERSION_REFUSED = "version_refused"
     VERSION_NOT_REPLICATED = "version_not_replicated"
--- a/jaypost/messages.py
+++ b/jaypost/messages.py
@@ -184,6 +184,22 @@
     sender: str
 
 
+@dataclass(frozen=True, slots=True)
+class StoreContact:
+    """Contact of a node with the store, its own or that of a nearer region.
+
+    Parameters
+    ----------
+    age_s : float
+        Time in seconds since the store last answered a read of the table.
+    round_trip_s : float or None
+        Shortest time in seconds in which the node has opened a connection to the store.
+    """
+
+    age_s: float
+    round_trip_s: float | None
+
+
 @dataclass(frozen=True, slots=True)
 class Pong:
     """Reply to `Ping`.
@@ -194,14 +210,13 @@
         Identifier of the node.
     held_version : int
         Version that it holds.
-    store_contact_age_s : float or None
-        Time in seconds since the store last answered a read of the table by the node; None when
-        the node does not read the table from the store.
+    store_contact : StoreContact or None
+        None when the node does not read the table for its region.
     """
 
     node_id: str
     held_version: int
-    store_contact_age_s: float | None = None
+    store_contact: StoreContact | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/jaypost/store_connections.py
+++ b/jaypost/store_connections.py
@@ -127,6 +127,8 @@
     ----------
     sent_bytes, received_bytes : int
         Total bytes written to and read from the connections.
+    round_trip_s : float or None
+        Shortest time in seconds in which a connection was opened; None before the first.
     """
 
     def __init__(
@@ -144,6 +146,7 @@
         self._connection_slots = asyncio.Semaphore(MAX_CONNECTIONS)
         self.sent_bytes = 0
         self.received_bytes = 0
+        self.round_trip_s: float | None = None
 
     async def start(self) -> None:
         """Allow calls; connections are opened on demand."""
@@ -204,7 +207,11 @@
         return response
 
     async def _connect(self) -> _Connection:
+        started = time.monotonic()
         reader, writer = await asyncio.open_connection(self._address.host, self._address.port)
+        duration_s = time.monotonic() - started
+        if self.round_trip_s is None or duration_s < self.round_trip_s:
+            self.round_trip_s = duration_s
         return _Connection(reader, writer, h11.Connection(h11.CLIENT))
 
     def _take_idle(self) -> _Connection | None:
--- a/jaypost/view.py
+++ b/jaypost/view.py
@@ -623,6 +623,10 @@
             and self._domain_ids(domain)
         )
 
+    def region_of(self, failure_domain: str) -> str:
+        """Return the region of a known failure domain."""
+        return self._region_by_domain[failure_domain]
+
     def sample(
         self, rng: random.Random, scope: Scope, count: int, exclude: frozenset[str] = frozenset()
     ) -> tuple[NodeRecord, ...]:
--- a/tests/test_elections.py
+++ b/tests/test_elections.py
@@ -4,13 +4,22 @@
 
 import pytest
 
-from jaypost.elections import ReaderElection, candidates
+from jaypost.elections import Candidates, ReaderElection, candidates
+from jaypost.messages import StoreContact
 from jaypost.records import NodeState
 from jaypost.view import MembershipView
 from tests.gossip_fleet import make_record
 
 NOW = 100.0
-CHOSEN = ("a", "b", "c", "d")
+CHOSEN = Candidates(("a", "b", "c", "d"), ("y", "z"))
+NEAR_S, FAR_S = 0.001, 0.06
+
+
+def contacts(ages: dict[str, float | None], round_trip_s: float = FAR_S) -> dict:
+    return {
+        node_id: None if age_s is None else StoreContact(age_s, round_trip_s)
+        for node_id, age_s in ages.items()
+    }
 
 
 def view_of(domains: int, nodes_per_domain: int = 5) -> MembershipView:
@@ -31,30 +40,31 @@
 ) -> None:
     """Guards against reads and region link bytes that grow with the domains or the fleet."""
     view = view_of(domains)
-    chosen = candidates(view)
+    chosen = candidates(view).own_region
+    assert len(candidates(view).other_regions) == 2
     assert len(chosen) == min(4, 2 * domains)
     assert len({node_id[:2] for node_id in chosen[:2]}) == min(2, domains)
     other = MembershipView(make_record("d0n3", "d0", "r1"), NOW)
     other.merge(tuple(view.records()), NOW)
-    assert candidates(other) == chosen
+    assert candidates(other).own_region == chosen
 
 
 def test_domains_that_are_cut_off_have_their_own_readers() -> None:
     """Guards against a domain that counts on a reader that it cannot reach."""
     view = view_of(4)
     view.set_cut_domains({f"d{domain}": NOW for domain in (1, 2, 3)})
-    assert {node_id[:2] for node_id in candidates(view)} == {"d0"}
+    assert {node_id[:2] for node_id in candidates(view).own_region} == {"d0"}
 
 
 def test_leaving_nodes_are_not_candidates() -> None:
     """Guards against a version that waits for a node which is shutting down."""
     view = view_of(2)
-    first = candidates(view)[0]
+    first = candidates(view).own_region[0]
     domain = first[:2]
     left = make_record(first, domain, "r1", stamp=view.get(first).stamp, state=NodeState.LEAVING)
     later = left.stamp.__class__(left.stamp.incarnation, left.stamp.sequence + 1)
     view.merge((make_record(first, domain, "r1", stamp=later, state=NodeState.LEAVING),), NOW)
-    assert first not in candidates(view)
+    assert first not in candidates(view).own_region
 
 
 @pytest.mark.parametrize(
@@ -77,5 +87,31 @@
     """Guards against a region without a reader, and against more readers than needed."""
     election = ReaderElection(own, contact_limit_s=4.0)
     assert set(ages) <= set(election.to_check(CHOSEN)) or own == "x"
-    election.set_contact_ages(ages)
+    election.set_contacts(CHOSEN, contacts(ages), FAR_S, NOW)
     assert election.place(CHOSEN) == place
+
+
+@pytest.mark.parametrize(
+    ("other", "other_s", "own_s", "reads"),
+    [
+        ({"y": 0.1, "z": None}, NEAR_S, FAR_S, False),
+        ({"y": None, "z": 2.0}, NEAR_S, FAR_S, False),
+        ({"y": None, "z": None}, NEAR_S, FAR_S, True),
+        ({"y": 9.0, "z": 9.0}, NEAR_S, FAR_S, True),
+        ({"y": 0.1, "z": 0.1}, FAR_S, FAR_S, True),
+        ({"y": 0.1, "z": 0.1}, FAR_S, NEAR_S, True),
+        ({"y": 0.1, "z": 0.1}, NEAR_S, 0.004, True),
+        ({"y": 0.1, "z": 0.1}, NEAR_S, None, True),
+    ],
+)
+def test_far_region_reads_only_while_no_nearer_region_does(
+    other: dict[str, float | None], other_s: float, own_s: float | None, reads: bool
+) -> None:
+    """Large table and a narrow link between regions: guards against its copies filling the link."""
+    election = ReaderElection("a", contact_limit_s=4.0)
+    assert election.to_check(CHOSEN) == ("y", "z")
+    election.set_contacts(CHOSEN, contacts(other, other_s), own_s, NOW)
+    assert election.place(CHOSEN) == (0 if reads else None)
+    assert election.regional_place(CHOSEN) == 0
+    age_s = election.nearer_contact_age_s(NOW + 1.0)
+    assert (age_s is None) is reads
