Tell repeated refusals and endless bytes of faulty targets from responses

Cause: a refusal without an identifier was taken for the response to the request in progress, so a request that the target ran was answered as not run. A request that was sent again over the connection that had carried its refusal could get the same refusal once more, because both have the same identifier. Interim responses and empty lines before a head, and the body of a refusal, were read without a limit until the deadline of the call.

Change: a refusal counts only with the identifier of its request; a request is not sent on a connection that has answered it before (32 identifiers are kept, 8 before); interim responses and empty lines count against the limit of the head; a refusal is passed on when its head is complete, and its connection closed unless the body arrived with it.

--- a/jaypost/codecs.py
+++ b/jaypost/codecs.py
@@ -349,8 +349,8 @@
     Parameters
     ----------
     header_limit_bytes : int
-        Largest size in bytes of a head, and of chunk framing (extensions and trailers) that
-        arrives without body data in between.
+        Largest size in bytes of a head, of the interim responses and empty lines before it, and of
+        chunk framing (extensions and trailers) that arrives without body data in between.
     dialect : HeaderDialect, optional
         Header names on this connection; None for jaypost's own names.
 
@@ -446,9 +446,12 @@
                 if not head:
                     return
                 event = self._parse_head(head)
-                events.append(event)
                 if event is _CONTINUE:
+                    self._count_preamble(len(head))
+                    events.append(event)
                     continue
+                events.append(event)
+                self._framing_bytes = 0
                 self._phase = _Phase.BODY
             elif self._phase is _Phase.BODY:
                 self._decode_body(data, events)
@@ -471,6 +474,7 @@
             return b"", b""
         if data.startswith(b"\r\n"):
             data = data[2:]  # an empty line before a message is ignored (RFC 9112, 2.2)
+            self._count_preamble(2)
         end = data.find(b"\r\n\r\n")
         if (end if end >= 0 else len(data)) > self._header_limit_bytes:
             raise _ProtocolFaultError("the head is too large", ErrorKind.HEADERS_TOO_LARGE)
@@ -483,6 +487,12 @@
         _check_lines(head)
         return head, data[end + 4 :]
 
+    def _count_preamble(self, size_bytes: int) -> None:
+        # Interim responses and empty lines may be repeated without end.
+        self._framing_bytes += size_bytes
+        if self._framing_bytes > self._header_limit_bytes:
+            raise _ProtocolFaultError("no head after many bytes", ErrorKind.HEADERS_TOO_LARGE)
+
     def _count_framing(self, received_bytes: int, has_content: bool) -> None:
         # Chunk extensions and trailers are dropped, and their size is limited like that of a head.
         self._framing_bytes = 0 if has_content else self._framing_bytes + received_bytes
--- a/jaypost/egress.py
+++ b/jaypost/egress.py
@@ -369,9 +369,12 @@
         assert self._exchange is not None and self._target is not None
         self._egress.record_target_alive(self.target_id)
         request_id = self._head.control.get(REQUEST_ID, b"")
-        echoed = head.control.get(REQUEST_ID)
-        if echoed is not None and echoed != request_id:
-            log.error("crossed_response", target=self._target.target_id, got=echoed)
+        if not self._belongs_to_call(head, request_id):
+            log.error(
+                "crossed_response",
+                target=self._target.target_id,
+                got=head.control.get(REQUEST_ID, b""),
+            )
             self._exchange.cancel()
             self._fail(ErrorKind.OUTCOME_UNKNOWN)
             return
@@ -404,6 +407,17 @@
             ResponseHead(head.status, control, head.headers, head.content_length)
         )
 
+    @staticmethod
+    def _belongs_to_call(head: ResponseHead, request_id: bytes) -> bool:
+        """Tell whether a response may be taken for the one to the request with `request_id`.
+
+        Targets may leave the identifier out, but not when they refuse a request: an earlier refusal
+        that is written again would say that this request was not run.
+        """
+        echoed = head.control.get(REQUEST_ID)
+        refuses = SHED in head.control or head.status == HTTPStatus.MISDIRECTED_REQUEST
+        return echoed == request_id or (echoed is None and (not refuses or not request_id))
+
     def on_target_body(self, data: bytes) -> None:
         """Forward a part of the response body."""
         if self._refused_kind is None:
@@ -434,8 +448,16 @@
         else:
             self._refuse(failure.kind)
 
-    def flush(self) -> None:
-        """Flush the forwarded data to the peer."""
+    def on_batch_end(self) -> None:
+        """Flush the forwarded data to the peer; do not wait for the rest of a refusal.
+
+        The body of a refusal is not forwarded, and may have no end.
+        """
+        if self._refused_kind is not None and not self._done:
+            assert self._exchange is not None
+            self._exchange.cancel()
+            self._fail(self._refused_kind)
+            return
         self._responder.flush()
 
     def _on_timeout(self) -> None:
@@ -575,7 +597,7 @@
         self._call.on_target_failed(failure)
 
     def on_batch_end(self) -> None:
-        self._call.flush()
+        self._call.on_batch_end()
 
     def on_request_write_paused(self) -> None:
         self._call.on_target_write_paused(True)
--- a/jaypost/pools.py
+++ b/jaypost/pools.py
@@ -39,8 +39,9 @@
 # A `ResponseStream` pauses its connection while it buffers more than this.
 STREAM_BUFFER_BYTES = 65_536
 # Identifiers of the last answered requests that are kept per connection. A further response with
-# one of them is a duplicate and is dropped.
-MAX_REMEMBERED_REQUEST_IDS = 8
+# one of them is a duplicate and is dropped. A request that is sent again does not use a connection
+# that has answered it, because a duplicate could not be told from its response.
+MAX_REMEMBERED_REQUEST_IDS = 32
 
 
 @dataclass(frozen=True, slots=True)
@@ -324,6 +325,11 @@
         """Whether the connection is open, so that a request can be written."""
         return self._transport is not None and not self._transport.is_closing()
 
+    def has_answered(self, exchange: PooledExchange) -> bool:
+        """Tell whether the connection has carried a response to the same request before."""
+        request_id = exchange.head.control.get(REQUEST_ID)
+        return request_id is not None and request_id in self._answered_request_ids
+
     @property
     def exchange(self) -> PooledExchange | None:
         """The request in progress."""
@@ -553,9 +559,10 @@
         group = self._group_by_address.get(exchange.address)
         if group is None:
             group = self._group_by_address[exchange.address] = _AddressGroup(exchange.address)
-        while group.idle:
-            connection = group.idle.pop()
-            if connection.usable:
+        group.idle = [connection for connection in group.idle if connection.usable]
+        for connection in reversed(group.idle):
+            if not connection.has_answered(exchange):
+                group.idle.remove(connection)
                 connection.begin(exchange)
                 return
         group.waiting.append(exchange)
@@ -608,11 +615,14 @@
         """Give a connection that became free to a waiting request, or keep it idle."""
         if self._closed:
             connection.discard()
-        elif group.waiting:
-            connection.begin(group.waiting.popleft())
-        else:
-            connection.idle_since = self.clock()
-            group.idle.append(connection)
+            return
+        for exchange in group.waiting:
+            if not connection.has_answered(exchange):
+                group.waiting.remove(exchange)
+                connection.begin(exchange)
+                return
+        connection.idle_since = self.clock()
+        group.idle.append(connection)
 
     def remove_connection(self, group: _AddressGroup, connection: ClientConnection) -> None:
         """Remove a closed connection."""
