Bound open connections by the descriptors of the process

A caller retries on a new connection and keeps the earlier one open, and the node never closed a caller's connection. Then it accepted and read nothing for 1.2 s, and sent requests on whose callers had closed their connections meanwhile. Ruled out: late starts on pooled connections, slow connects, a blocked event loop (none above 0.3 s in the log).

Change: connections of callers, to peers and to targets each have a share of the descriptors (setting max_files). The connection that has been idle for longest makes room for a new one. Without an idle one, a new caller is closed unread, and a request that needs a connection is refused as not run (connection_limit), which does not count against its target.

--- a/jaypost/connections.py
+++ b/jaypost/connections.py
@@ -27,6 +27,7 @@
 )
 from jaypost.errors import ErrorKind
 from jaypost.invariants import check
+from jaypost.logs import EventName
 from jaypost.records import Address
 from jaypost.settings import Settings
 from jaypost.uplink import Uplink
@@ -199,20 +200,20 @@
         # A cast, not an assertion: uvloop's transports do not subclass asyncio.Transport.
         opened = cast(asyncio.Transport, transport)
         self._transport = self._server.uplink.wrap(opened, self)
-        self._server.connections.add(self)
+        self._server.connection_opened(self)
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Cancel the calls of the connection."""
         self._transport = None
-        self._server.connections.discard(self)
+        self._server.connection_closed(self)
         self._stop_rate_timer()
         self._deferred_events.clear()
         self._cancel_exchanges()
-        self._server.connection_closed()
 
     def data_received(self, data: bytes) -> None:
         """Decode input and pass it to its call."""
         self._received_bytes += len(data)
+        self._server.connection_busy(self)
         if self._lingering or self._closing:
             return
         self._dispatch_all(self._codec.receive(data))
@@ -220,6 +221,7 @@
             self._codec.head_pending or self._reading_exchange is not None
         ):
             self._start_rate_timer()
+        self._note_if_idle()
 
     def eof_received(self) -> None:
         """Let the transport close the connection, which it does when this returns None."""
@@ -424,6 +426,12 @@
             self._dispatch_deferred(self._transport)
         else:
             self._dispatch_all([])
+            self._note_if_idle()
+
+    def _note_if_idle(self) -> None:
+        """Tell the server if no request is in progress, not even a part of its head."""
+        if not self._exchanges and not self._codec.head_pending and self._transport is not None:
+            self._server.connection_idle(self)
 
     def _close_after_response(self) -> None:
         self._cancel_exchanges()
@@ -648,18 +656,29 @@
         Functions that the connections call.
     uplink : Uplink
         Paces the responses of all connections to the rate of the host's link.
+    max_connections : int or None
+        Largest number of open connections. A further one takes the place of the connection that
+        has been idle for longest; while none is idle, it is closed. None for no limit.
     """
 
     def __init__(
-        self, settings: Settings, address: Address, handlers: ConnectionHandlers, uplink: Uplink
+        self,
+        settings: Settings,
+        address: Address,
+        handlers: ConnectionHandlers,
+        uplink: Uplink,
+        max_connections: int | None = None,
     ) -> None:
         self.uplink = uplink
+        self._max_connections = max_connections
         self._settings = settings
         self._address = address
         self._handlers = handlers
         self._server: asyncio.Server | None = None
         self._no_connections = asyncio.Event()
         self.connections: set[ServerConnection] = set()
+        # Connections without a request in progress, the longest idle first.
+        self._idle: dict[ServerConnection, None] = {}
         self.draining = False
 
     async def start(self) -> Address:
@@ -714,8 +733,33 @@
         for connection in tuple(self.connections):
             connection.close_if_idle()
 
-    def connection_closed(self) -> None:
-        """Wake the waiters for the close of all connections if this was the last one."""
+    def connection_opened(self, connection: ServerConnection) -> None:
+        """Register a connection; close the longest idle one if there are too many."""
+        if self._max_connections is not None and len(self.connections) >= self._max_connections:
+            surplus = next(iter(self._idle), connection)
+            log.warning(
+                EventName.CONNECTION_LIMIT,
+                connections=len(self.connections),
+                idle=len(self._idle),
+            )
+            self._idle.pop(surplus, None)
+            surplus.close()
+        self.connections.add(connection)
+        self._idle[connection] = None
+
+    def connection_busy(self, connection: ServerConnection) -> None:
+        """Keep a connection open, because input arrives on it."""
+        self._idle.pop(connection, None)
+
+    def connection_idle(self, connection: ServerConnection) -> None:
+        """Let a connection be closed in favour of a new one."""
+        self._idle.pop(connection, None)
+        self._idle[connection] = None
+
+    def connection_closed(self, connection: ServerConnection) -> None:
+        """Forget a connection; wake the waiters for the close of all if it was the last one."""
+        self.connections.discard(connection)
+        self._idle.pop(connection, None)
         if not self.connections:
             self._no_connections.set()
 
--- a/jaypost/egress.py
+++ b/jaypost/egress.py
@@ -59,6 +59,7 @@
     InFlight,
     Responder,
 )
+from jaypost.descriptors import connection_limits
 from jaypost.errors import ANSWER_BY_KIND, ErrorKind, RunState
 from jaypost.invariants import check
 from jaypost.limits import FleetLimits, LimitQuery
@@ -435,7 +436,8 @@
 
     def on_target_failed(self, failure: CallFailed) -> None:
         """Answer with an error, or abort a response whose head was sent."""
-        if not self._response_status and self._refused_kind is None:
+        target_failed = failure.kind is not ErrorKind.CONNECTION_LIMIT
+        if target_failed and not self._response_status and self._refused_kind is None:
             self._egress.record_broken_connection(self.target_id)
         if self._refused_kind is not None:
             self._fail(self._refused_kind)
@@ -648,7 +650,10 @@
         self.clock = time.monotonic  # the clock of uvloop has a resolution of only 1 ms
         self.long_work_classifier = LongWorkClassifier()
         self.breakers = Breakers()
-        self.pool = ConnectionPool(settings, dialect=dialect)
+        max_connections = connection_limits(settings.max_files)
+        self.pool = ConnectionPool(
+            settings, dialect=dialect, max_connections=max_connections.to_targets
+        )
         self.in_flight = InFlight()
         self.refuses_calls = False
         self.target_by_id: dict[str, Target] = {}
--- a/jaypost/errors.py
+++ b/jaypost/errors.py
@@ -38,6 +38,7 @@
     TARGET_DOWN = "target_down"
     WRONG_TARGET = "wrong_target"
     CONNECT_FAILED = "connect_failed"
+    CONNECTION_LIMIT = "connection_limit"
     OUTCOME_UNKNOWN = "outcome_unknown"
     ANSWER_CUT = "answer_cut"
     DUPLICATE_REQUEST = "duplicate_request"
@@ -137,6 +138,11 @@
         "No connection to the target could be opened.",
         retryable=True,
     ),
+    ErrorKind.CONNECTION_LIMIT: _not_run(
+        HTTPStatus.SERVICE_UNAVAILABLE,
+        "The node has as many connections open as it may have.",
+        retryable=True,
+    ),
     ErrorKind.OUTCOME_UNKNOWN: Answer(
         HTTPStatus.GATEWAY_TIMEOUT,
         RunState.UNKNOWN,
--- a/jaypost/ingress.py
+++ b/jaypost/ingress.py
@@ -50,6 +50,7 @@
     InFlight,
     Responder,
 )
+from jaypost.descriptors import connection_limits
 from jaypost.egress import Egress
 from jaypost.errors import ANSWER_BY_KIND, ErrorKind, RunState
 from jaypost.invariants import check
@@ -105,6 +106,7 @@
     ErrorKind.TARGET_DOWN: (0.05, 0.3),
     ErrorKind.DRAINING: (0.0, 0.1),
     ErrorKind.CONNECT_FAILED: (0.05, 0.3),
+    ErrorKind.CONNECTION_LIMIT: (0.05, 0.3),
 }
 REQUEST_ID_PATTERN = re.compile(rb"[!-~]{1,128}")
 TENANT_PATTERN = re.compile(rb"[A-Za-z0-9_.-]{1,64}")
@@ -1013,7 +1015,8 @@
         self.local_egress = local_egress
         self.rng = rng or random.Random()
         self.clock = time.monotonic  # the clock of uvloop has a resolution of only 1 ms
-        self.pool = ConnectionPool(settings, probe=True)
+        max_connections = connection_limits(settings.max_files)
+        self.pool = ConnectionPool(settings, probe=True, max_connections=max_connections.to_peers)
         self.in_flight = InFlight()
         self.refuses_calls = False
         self._tasks: set[asyncio.Task[None]] = set()
@@ -1026,6 +1029,7 @@
                 self.open_call, self._refuse_input, self.may_execute_concurrently, dialect
             ),
             uplink or Uplink(settings.link_mbps),
+            max_connections.callers,
         )
 
     async def start(self) -> Address:
--- a/jaypost/logs.py
+++ b/jaypost/logs.py
@@ -74,6 +74,7 @@
     CONNECTIONS_CLOSED = "connections_closed"
     SILENT_PEER = "silent_peer"
     CONNECT_FAILED = "connect_failed"
+    CONNECTION_LIMIT = "connection_limit"
     CROSSED_RESPONSE = "crossed_response"
     UNSOLICITED_RESPONSE = "unsolicited_response"
     BAD_RESPONSE = "bad_response"
--- a/jaypost/pools.py
+++ b/jaypost/pools.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import errno
 import socket
 import time
 from abc import ABC, abstractmethod
@@ -27,6 +28,7 @@
 )
 from jaypost.connections import PROBE_REQUEST_TARGET
 from jaypost.errors import ErrorKind
+from jaypost.logs import EventName
 from jaypost.records import Address
 from jaypost.settings import Settings
 
@@ -151,6 +153,7 @@
     __slots__ = (
         "address",
         "body",
+        "cancelled",
         "complete",
         "connection",
         "head",
@@ -177,6 +180,7 @@
         self.pool: ConnectionPool | None = None
         self.sent_at: float | None = None
         self.paused = False
+        self.cancelled = False
 
     @property
     def reached(self) -> bool:
@@ -208,12 +212,18 @@
 
     def cancel(self) -> None:
         """Cancel the request and close its connection."""
+        self.cancelled = True
         connection, self.connection = self.connection, None
         if connection is not None:
             connection.discard()
         elif self.pool is not None:
             self.pool.remove_waiting(self)
 
+    def fail_unsent(self, failure: CallFailed) -> None:
+        """Report a failure before any connection was used, unless the request was cancelled."""
+        if not self.cancelled:
+            self.receiver.on_failed(failure)
+
 
 class _AddressGroup:
     """Connections to one address, and the requests that wait for a connection."""
@@ -496,6 +506,9 @@
         Called with the address of a peer whose silent connections were closed.
     dialect : HeaderDialect, optional
         Header names on the connections; None for jaypost's own names.
+    max_connections : int, optional
+        Largest number of open connections. A further one takes the place of the connection that
+        has been idle for longest; while none is idle, its request fails. None for no limit.
     """
 
     def __init__(
@@ -504,9 +517,11 @@
         probe: bool = False,
         on_silent: Callable[[Address], None] | None = None,
         dialect: HeaderDialect | None = None,
+        max_connections: int | None = None,
     ) -> None:
         self.settings = settings
         self.dialect = dialect
+        self._max_connections = max_connections
         self._probe = probe
         self._on_silent = on_silent
         self._group_by_address: dict[Address, _AddressGroup] = {}
@@ -565,9 +580,29 @@
                 group.idle.remove(connection)
                 connection.begin(exchange)
                 return
+        if not self._make_room():
+            failure = CallFailed(ErrorKind.CONNECTION_LIMIT, reached=False)
+            self._remove_group_if_empty(group)
+            assert self._loop is not None
+            # Not before `start_exchange` returns, like any other failure.
+            self._loop.call_soon(exchange.fail_unsent, failure)
+            return
         group.waiting.append(exchange)
         self._start_connecting(group)
 
+    def _make_room(self) -> bool:
+        """Close the longest idle connection if no further one may be opened; return success."""
+        groups = self._group_by_address.values()
+        opened = sum(len(group.connections) + len(group.connect_tasks) for group in groups)
+        if self._max_connections is None or opened < self._max_connections:
+            return True
+        idle = [group.idle[0] for group in groups if group.idle]  # the longest idle of each group
+        log.warning(EventName.CONNECTION_LIMIT, connections=opened, idle=len(idle))
+        if not idle:
+            return False
+        min(idle, key=lambda connection: connection.idle_since).discard()
+        return True
+
     async def request(
         self, address: Address, head: RequestHead, body: bytes, deadline: float
     ) -> ResponseStream | CallFailed:
@@ -673,7 +708,9 @@
         except OSError as error:  # TimeoutError is a subclass
             log.info("connect_failed", address=str(group.address), reason=str(error))
             if group.waiting:
-                failure = CallFailed(ErrorKind.CONNECT_FAILED, reached=False)
+                own_limit = error.errno in (errno.EMFILE, errno.ENFILE)
+                kind = ErrorKind.CONNECTION_LIMIT if own_limit else ErrorKind.CONNECT_FAILED
+                failure = CallFailed(kind, reached=False)
                 group.waiting.popleft().receiver.on_failed(failure)
             return
         if connection.usable:
--- a/jaypost/settings.py
+++ b/jaypost/settings.py
@@ -81,6 +81,7 @@
     grace_s: float
     retry_ratio: float
     link_mbps: float
+    max_files: int
     log_level: str
     raise_on_violation: bool
 
@@ -347,6 +348,11 @@
         _number_parser(float, 0, 1_000_000),
         "bandwidth of the network link of the host in megabits per second; 0 when unknown",
     ),
+    "max_files": Setting(
+        "0",
+        _number_parser(int, 0, 1 << 24),
+        "file descriptors that the process may use; 0 for the limit that the system sets",
+    ),
     "log_level": Setting(
         "info", _choice_parser("debug", "info", "warning", "error"), "lowest level that is logged"
     ),
