Start a fleet with few store calls and few copies of the table

Each copy of the table is about 230 KB. On the narrow link between regions the copies delayed each other beyond the timeout of a second (19 of 38 reads failed, and with them 17 lists and 15 leases), and were sent again. For a moment each node was also a reader with a watch of its own, because it knew few of the others.

Change: in a fleet that starts for the first time (setting first_start), few nodes look for others at once, the rest a second later; of those that register together one founds the fleet. Nodes wait for the first version from their peers, and read the store one after the other if none arrives. No departures are read. Seeds that were read are used for a second. A node that holds a version reads the store only after it has been a reader for a second.

The new cases of tests/test_gossip.py, test_daemon.py and test_readers.py fail without the change.

--- a/jaypost/daemon.py
+++ b/jaypost/daemon.py
@@ -75,6 +75,10 @@
 # Time that a starting node waits for its peers to receive a first version, and how often it looks.
 FIRST_VERSION_WAIT_S = 2.0
 FIRST_VERSION_CHECK_S = 0.05
+# Mean time between the reads of the table by nodes that have waited in vain, and the longest time
+# over which their reads are spread.
+FIRST_READ_INTERVAL_S = 0.25
+FIRST_READS_MAX_SPREAD_S = 10.0
 # Timeout of each of the last two steps, notifying the peers and closing the components. Both may
 # wait for a peer that is cut off and never answers.
 SHUTDOWN_STEP_TIMEOUT_S = 0.3
@@ -321,7 +325,8 @@
         uses an older version than before.
         """
         outcome = await self.gossip.join()
-        self._spawn(self._load_departures())
+        if not self.settings.first_start:
+            self._spawn(self._load_departures())
         self._not_ready_reason = "the newest table version is not known yet"
         if not (isinstance(outcome, Joined) and await self._has_version_of_peers(outcome)):
             read = await self.reader.read_once()
@@ -346,11 +351,15 @@
         """Return whether enough peers were asked and the newest version that they hold is held.
 
         A fleet that starts as a whole has no version until its readers have read the first one.
-        The other nodes wait for that rather than read the store themselves.
+        The other nodes wait for that rather than read the store themselves. If it takes too long,
+        they read it one after the other, because many copies of the table at once would delay each
+        other on a narrow link.
         """
-        if joined.answered_peers < PEERS_TO_ASK:
+        if joined.answered_peers < PEERS_TO_ASK and not self.settings.first_start:
             return False
-        waited_until = time.monotonic() + FIRST_VERSION_WAIT_S
+        spread_s = min(FIRST_READ_INTERVAL_S * len(self.view), FIRST_READS_MAX_SPREAD_S)
+        turn_s = self._rng.uniform(0.0, spread_s)
+        waited_until = time.monotonic() + FIRST_VERSION_WAIT_S + turn_s
         while time.monotonic() < waited_until and not self.gossip.reads_store():
             if self.holder.held_version >= max(joined.highest_version, 1):
                 return True
--- a/jaypost/joining.py
+++ b/jaypost/joining.py
@@ -35,6 +35,12 @@
 PEERS_TO_ASK = 3
 # A host without power does not answer at all; the next node is tried after this time.
 NEXT_PEER_DELAY_S = 0.2
+# Shares of the nodes of a fleet that starts for the first time, and after how many seconds they
+# look for others. So a few nodes register seeds and found the fleet, whatever its size, and the
+# others find these.
+FIRST_START_DELAYS_S = ((1 / 64, 0.0), (1 / 16, 0.4), (1 / 4, 0.8), (1.0, 1.2))
+# Seeds that were read from the store are used for this time in seconds.
+SEEDS_MAX_AGE_S = 1.0
 # Bounds of the random pause between registering the own seed and looking for seeds of other nodes.
 FOUNDER_PAUSE_RANGE_S = (0.5, 1.0)
 FAILED_ROUNDS_BEFORE_FOUNDING = 2
@@ -242,6 +248,8 @@
         self._seeds = seeds
         self._join_at = join_at
         self._ask_version = ask_version
+        self._seeds_in_store: tuple[Seed, ...] | None = None
+        self._seeds_read_at = 0.0
 
     async def run(self) -> JoinOutcome:
         """Get all records and the table from a peer; repeat until it succeeds.
@@ -254,7 +262,10 @@
         JoinOutcome
             `Founded` when the store is available and no other node answers, else `Joined`.
         """
-        await asyncio.sleep(self._rng.uniform(0.0, self._settings.join_jitter_s))
+        pause_s = self._rng.uniform(0.0, self._settings.join_jitter_s)
+        if self._settings.first_start:
+            pause_s += self._first_start_delay_s()
+        await self._wait(pause_s)
         delay_s = self._settings.store_backoff_min_s
         failed_rounds = 0
         clock = asyncio.get_running_loop().time
@@ -263,7 +274,11 @@
             result = await self._run_round(clock() < waits_for_seeds_until)
             if result.reply is not None:
                 return await self._ask_for_versions(result.reply)
-            if result.busy_delay_s is None and result.store_answered:
+            # Seeds of a fleet that starts for the first time are about to found it.
+            founders_exist = (
+                self._settings.first_start and result.joining and clock() < waits_for_seeds_until
+            )
+            if result.busy_delay_s is None and result.store_answered and not founders_exist:
                 failed_rounds += 1
                 if await self._may_found_fleet(result.seeds_tried, failed_rounds):
                     return Founded()
@@ -292,7 +307,7 @@
         is_seed = self._view.own.control_address in self._settings.seeds
         if waits_for_seeds and configured and attempt.joining and not is_seed:
             return _Round(None, attempt.busy_delay_s, True, True, False, store_asked=False)
-        in_store = await self._seeds.read() if self._seeds is not None else ()
+        in_store = await self._read_seeds() if self._seeds is not None else ()
         tried = {seed.address for seed in known[:PEERS_TO_ASK]}
         seeds = self._nearest_first([item for item in in_store or () if item.address not in tried])
         store_attempt = await self._join_first_available(seeds)
@@ -307,6 +322,19 @@
             in_store is not None,
         )
 
+    async def _read_seeds(self) -> tuple[Seed, ...] | None:
+        """Return the seeds in the store; those of the last read while they are recent."""
+        assert self._seeds is not None
+        now = asyncio.get_running_loop().time()
+        if not self._seeds_in_store or now - self._seeds_read_at > SEEDS_MAX_AGE_S:
+            self._seeds_in_store = await self._seeds.read()
+            self._seeds_read_at = now
+        return self._seeds_in_store
+
+    def _first_start_delay_s(self) -> float:
+        drawn = self._rng.random()
+        return next(delay_s for share, delay_s in FIRST_START_DELAYS_S if drawn < share)
+
     def _next_delay(self, delay_s: float) -> float:
         shortest_s = self._settings.store_backoff_min_s
         drawn_s = self._rng.uniform(shortest_s, BACKOFF_FACTOR * delay_s)
@@ -326,7 +354,14 @@
         await self._seeds.register(self._view.own.control_address)
         await asyncio.sleep(self._rng.uniform(*FOUNDER_PAUSE_RANGE_S))
         seeds_in_store = await self._seeds.read()
-        return seeds_in_store is not None and not self._nearest_first(seeds_in_store)
+        if seeds_in_store is None:
+            return False
+        others = self._nearest_first(seeds_in_store)
+        if self._settings.first_start:
+            # One of the nodes that have registered at the same time founds the fleet.
+            own = str(self._view.own.control_address)
+            return all(own < str(seed.address) for seed in others)
+        return not others
 
     def _nearest_first(self, nodes: Sequence[Seed]) -> list[Seed]:
         own = self._view.own
--- a/jaypost/readers.py
+++ b/jaypost/readers.py
@@ -20,6 +20,8 @@
 
 # Interval at which a node that is not a reader checks whether it has become a reader.
 ROLE_CHECK_INTERVAL_S = 0.5
+# Time in seconds for which a node that holds a version must be a reader before it reads the store.
+READER_SETTLE_S = 1.0
 # Watches of an unchanged head record end at least this many times per `beacon_timeout_s`, and each
 # of them renews `TableReader.last_contact`.
 WATCHES_PER_BEACON_TIMEOUT = 3
@@ -136,6 +138,7 @@
         self._held_version_after_read = 0
         self._replicated_version = 0
         self._damaged_retry_at: float | None = None
+        self._reader_since: float | None = None
         self._delay_s = settings.store_backoff_min_s
         # The watch of an unchanged head record must end often enough to keep `last_contact` recent.
         self._watch_wait_s = min(
@@ -175,7 +178,7 @@
     async def _run(self) -> None:
         while True:
             try:
-                if self._reader_place() is not None:
+                if self._is_settled_reader():
                     await self._read_cycle()
                 elif self._needs_replication():
                     # Other nodes do not offer a version that this node already holds, so it has to
@@ -191,6 +194,21 @@
                 log.exception("reader_failed")
                 await self._back_off()
 
+    def _is_settled_reader(self) -> bool:
+        """Tell whether this node reads the store and has had that role for a while.
+
+        While nodes start, each of them may be a reader for a moment. A node that holds no version
+        does not wait.
+        """
+        if self._reader_place() is None:
+            self._reader_since = None
+            return False
+        now = self._clock()
+        if self._reader_since is None:
+            self._reader_since = now
+        settled = now - self._reader_since >= READER_SETTLE_S
+        return settled or not self._holder.held_version
+
     async def _read_cycle(self) -> None:
         """Read once, bring a new version into force and pause before the next read."""
         started = self._clock()
--- a/jaypost/settings.py
+++ b/jaypost/settings.py
@@ -60,6 +60,7 @@
     push_rate: float
     join_jitter_s: float
     join_rate: float
+    first_start: bool
     beacon_timeout_s: float
     announcement_timeout_s: float
     connect_timeout_s: float
@@ -258,6 +259,12 @@
         "2", _number_parser(float, 0, 60), "longest random delay before joining, in seconds"
     ),
     "join_rate": Setting("20", _number_parser(float, 0.1, 1000), "join replies per second"),
+    "first_start": Setting(
+        "false",
+        _parse_boolean,
+        "the whole fleet starts for the first time, so that the store holds nothing of earlier "
+        "processes",
+    ),
     "beacon_timeout_s": Setting(
         "15",
         _parse_seconds,
--- a/tests/test_daemon.py
+++ b/tests/test_daemon.py
@@ -9,6 +9,7 @@
 import json
 import time
 from dataclasses import astuple
+from types import SimpleNamespace
 
 import pytest
 from admin_fakes import VALID_ANNOUNCEMENT, load_settings
@@ -16,6 +17,7 @@
 from jaypost import daemon
 from jaypost.announcements import Announce
 from jaypost.events import EventLog
+from jaypost.joining import Joined
 from jaypost.records import Address, TargetState
 from jaypost.store import StoreCallEnded
 
@@ -115,3 +117,30 @@
         writer.close()
     finally:
         await node.close()
+
+
+@pytest.mark.parametrize(
+    ("first_start", "answered_peers", "highest_version", "held_version", "reads"),
+    [
+        pytest.param(False, 3, 5, 5, False, id="restart, enough peers"),
+        pytest.param(False, 2, 5, 5, True, id="restart, a peer may hold a newer version"),
+        pytest.param(False, 3, 5, 4, True, id="restart, the newest version does not arrive"),
+        pytest.param(True, 1, 0, 1, False, id="first start, the version arrives from a peer"),
+        pytest.param(True, 1, 0, 0, True, id="first start, no version arrives"),
+    ],
+)
+async def test_starting_node_reads_the_table_only_without_that_of_its_peers(
+    monkeypatch, first_start, answered_peers, highest_version, held_version, reads
+):
+    """Whole fleet starts at once: guards against a copy of the table from the store for each node.
+
+    On a narrow link the copies delayed each other beyond the timeout of the store.
+    """
+    monkeypatch.setattr(daemon, "FIRST_VERSION_WAIT_S", 0.1)
+    monkeypatch.setattr(daemon, "FIRST_READ_INTERVAL_S", 0.0)
+    node = daemon.Node(load_settings(first_start=first_start), EventLog())
+    node.gossip = SimpleNamespace(reads_store=lambda: False)
+    node.holder = SimpleNamespace(held_version=held_version)
+    node.view = ()
+    joined = Joined(answered_peers, highest_version)
+    assert await node._has_version_of_peers(joined) is not reads
--- a/tests/test_gossip.py
+++ b/tests/test_gossip.py
@@ -15,6 +15,7 @@
 from jaypost.view import MembershipView
 from tests.gossip_fleet import (
     FIRST_STAMP,
+    MAX_SYNCS_PER_S,
     FakeSeeds,
     FakeStore,
     Fleet,
@@ -134,6 +135,34 @@
     assert len([node_id for node_id in reads if node_id != "seed"]) <= 3
 
 
+async def test_fleet_without_configured_seeds_starts_with_few_store_calls(
+    fleet: Fleet, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """First start of a fleet that no node knows anything of: most nodes read the seeds once."""
+    calls: list[tuple[str, str]] = []
+    for name in ("read", "register"):
+        original = getattr(FakeSeeds, name)
+
+        async def counted(seeds: FakeSeeds, *args: object, name=name, original=original) -> object:
+            calls.append((name, seeds.node_id))
+            return await original(seeds, *args)
+
+        monkeypatch.setattr(FakeSeeds, name, counted)
+    count = 24
+    interval_s = count / MAX_SYNCS_PER_S
+    nodes = [
+        await fleet.add(f"n{i:02}", first_start=True, sync_interval_s=interval_s)
+        for i in range(count)
+    ]
+    outcomes = await asyncio.gather(*(node.join() for node in nodes))
+    before_readers = list(calls)
+    registered = {node_id for name, node_id in before_readers if name == "register"}
+    assert 1 <= len(registered) <= count // 4
+    assert sum(name == "read" for name, _ in before_readers) <= 2 * count
+    assert sum(isinstance(outcome, Founded) for outcome in outcomes) <= len(registered)
+    await eventually(lambda: converged(fleet) and len(nodes[0].view) == count)
+
+
 async def test_crashed_readers_are_replaced(fleet: Fleet) -> None:
     """Guards against a failure domain in which no node watches the store after a crash."""
     await fleet.add_joined(8)
--- a/tests/test_readers.py
+++ b/tests/test_readers.py
@@ -10,7 +10,7 @@
 import pytest
 from test_config import LOADED, TABLES
 
-from jaypost import layout, table
+from jaypost import layout, readers, table
 from jaypost.config import ConfigHolder, OfferDeltas, OfferTable
 from jaypost.readers import HeadRead, NothingNew, ReadFailed, TableReader, TableSource
 from jaypost.records import Address, Head, Row, RowChange
@@ -351,3 +351,19 @@
         assert behind.held_table == holder.held_table
     await client.close()
     await server.close()
+
+
+async def test_node_that_is_a_reader_for_a_moment_does_not_read_the_store():
+    """Many nodes start: each is among the readers until it knows enough of the others."""
+    async with running_reader() as (server, writer, node):
+        await change(writer, 1)
+        await wait_until(lambda: node.holder.in_force_version == 1)
+        node.is_reader = False
+        await asyncio.sleep(readers.ROLE_CHECK_INTERVAL_S + 2 * SETTINGS.watch_wait_s)
+        calls = server.calls_by_kind["watch"]
+        node.is_reader = True
+        await asyncio.sleep(readers.ROLE_CHECK_INTERVAL_S + 0.1)
+        node.is_reader = False
+        assert server.calls_by_kind["watch"] == calls
+        node.is_reader = True
+        await wait_until(lambda: server.calls_by_kind["watch"] > calls)
