--- a/jaypost/daemon.py
+++ b/jaypost/daemon.py
@@ -106,6 +106,7 @@
     unreachable_nodes: tuple[str, ...]
     targets: tuple[Target, ...]
     store_contact_age_s: float | None
+    version_lag_s: float
 
 
 class Node:
@@ -409,6 +410,7 @@
 
     def _update_metrics(self, metrics: Metrics) -> None:
         metrics.version_held(self.holder.held_version)
+        metrics.version_lag(self.gossip.version_lag_s())
         metrics.readiness_changed(self._ready)
         count_by_state = Counter(record.state.value for record in self.view.records())
         metrics.nodes_changed(count_by_state | Counter(unreachable=len(self._unreachable_ids)))
@@ -512,6 +514,7 @@
             self._unreachable_nodes(),
             self.announcements.targets,
             self._store_contact_age_s(),
+            self.gossip.version_lag_s(),
         )
 
     async def fleet(self) -> FleetReport:
--- a/jaypost/fleet_client.py
+++ b/jaypost/fleet_client.py
@@ -55,6 +55,8 @@
         Whether the node watches the store for its failure domain.
     store_contact_age_s : float or None
         Seconds since the store last answered a table read of this node; None if it never did.
+    version_lag_s : float
+        Seconds since the node knows of a newer version than the one in force; 0 if it knows none.
     """
 
     node_id: str
@@ -71,6 +73,7 @@
     unreachable_nodes: tuple[str, ...] = ()
     targets: tuple[Target, ...] = ()
     store_contact_age_s: float | None = None
+    version_lag_s: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
--- a/jaypost/gossip.py
+++ b/jaypost/gossip.py
@@ -78,6 +78,7 @@
 from jaypost.settings import Settings
 from jaypost.status import StatusCollector
 from jaypost.updates import Batch, TokenBucket, UpdateQueue
+from jaypost.version_lag import CaughtUp, FellBehind, VersionLag
 from jaypost.view import AccusationOutcome, AgedAccusation, MembershipView, Scope
 
 log = structlog.get_logger(__name__)
@@ -237,6 +238,7 @@
         self._election = ReaderElection(
             own.node_id, settings.watch_wait_s + settings.store_timeout_s + CONTACT_SLACK_S
         )
+        self._version_lag = VersionLag()
         self._catch_up_task: asyncio.Task[object] | None = None
         self._pushed_version = holder.held_version
         self._notified_change_count = view.change_count
@@ -600,6 +602,7 @@
         if not isinstance(outcome, Replied):
             return None
         held_version: int = outcome.message.held_version
+        self._note_version(held_version, peer.node_id)
         if held_version < self._holder.held_version:
             return await self._send_missing_versions(peer, held_version)
         self._catch_up_with(peer, held_version)
@@ -652,8 +655,39 @@
             1.0 - INTERVAL_JITTER_FRACTION, 1.0 + INTERVAL_JITTER_FRACTION
         )
 
+    def _note_version(self, version: int, source: str) -> None:
+        self._version_lag.note_known(
+            version, source, self._holder.in_force_version, time.monotonic()
+        )
+
+    def _log_version_lag(self, now: float) -> None:
+        held, in_force = self._holder.held_version, self._holder.in_force_version
+        self._note_version(held, self._own_id)
+        event = self._version_lag.check(in_force, now)
+        if isinstance(event, FellBehind):
+            log.warning(
+                EventName.VERSION_BEHIND,
+                known=event.version,
+                source=event.source,
+                held=held,
+                in_force=in_force,
+                waits_for="activation" if held >= event.version else "transfer",
+                lag_ms=int(event.lag_s * 1000),
+            )
+        elif isinstance(event, CaughtUp):
+            log.info(
+                EventName.VERSION_CAUGHT_UP,
+                version=event.version,
+                lag_ms=int(event.lag_s * 1000),
+            )
+
+    def version_lag_s(self) -> float:
+        """Return the seconds since a newer version than the one in force is known; 0 if none is."""
+        return self._version_lag.lag_s(self._holder.in_force_version, time.monotonic())
+
     def _run_periodic_checks(self, now: float) -> None:
         self._view.expire(now)
+        self._log_version_lag(now)
         self._update_reader_role(now)
         self._apply_cut_domains(now)
         self._schedule_notification()
@@ -721,6 +755,7 @@
         return True
 
     async def _exchange_versions(self, peer: NodeRecord, reply: SyncReply) -> None:
+        self._note_version(reply.held_version, peer.node_id)
         self._offer_deltas(reply.deltas)
         held_version = self._holder.held_version
         if reply.held_version > held_version:
@@ -1042,6 +1077,7 @@
     @_handle.register
     async def _(self, request: Sync) -> SyncReply:
         self._handle_join_candidate(request)
+        self._note_version(request.held_version, request.sender)
         accusation = self._record_contact(request.sender)
         self._apply_accusations(request.accusations)
         own = self._view.own
@@ -1075,6 +1111,8 @@
     @_handle.register
     async def _(self, request: Push) -> PushReply:
         self._record_contact(request.sender)
+        if request.deltas:
+            self._note_version(request.deltas[-1].version, request.sender)
         self._offer_deltas(request.deltas)
         self._merge_records(request.records, request.left_age_by_id, spread=True)
         self._apply_accusations(request.accusations)
--- a/jaypost/logs.py
+++ b/jaypost/logs.py
@@ -56,6 +56,8 @@
     VERSION_IN_FORCE = "version_in_force"
     VERSION_REFUSED = "version_refused"
     VERSION_NOT_REPLICATED = "version_not_replicated"
+    VERSION_BEHIND = "version_behind"
+    VERSION_CAUGHT_UP = "version_caught_up"
     CHANGE_ACCEPTED = "change_accepted"
     CHANGE_UNDECIDED = "change_undecided"
     PRUNE_FAILED = "prune_failed"
@@ -120,6 +122,8 @@
         EventName.VERSION_IN_FORCE,
         EventName.VERSION_REFUSED,
         EventName.VERSION_NOT_REPLICATED,
+        EventName.VERSION_BEHIND,
+        EventName.VERSION_CAUGHT_UP,
         EventName.NODE_ACCUSED,
         EventName.NODE_UNREACHABLE,
         EventName.NODE_REACHABLE,
--- a/jaypost/metrics.py
+++ b/jaypost/metrics.py
@@ -163,6 +163,9 @@
         )
         self._version_in_force = self._gauge("version_in_force", "Table version in force")
         self._version_held = self._gauge("version_held", "Newest table version held")
+        self._version_lag = self._gauge(
+            "version_lag_seconds", "Time since a newer version than the one in force is known"
+        )
         self._versions_refused = self._counter("versions_refused_total", "Table versions refused")
         self._versions_stale = self._counter(
             "versions_stale_total", "Offers not newer than in force"
@@ -234,6 +237,10 @@
         """Set the newest version that the node holds."""
         self._version_held.set({}, version)
 
+    def version_lag(self, lag_s: float) -> None:
+        """Set the seconds since a newer version than the one in force is known."""
+        self._version_lag.set({}, lag_s)
+
     def version_refused(self) -> None:
         """Count an offer of a version that this node refused."""
         self._versions_refused.inc({})
--- a/jaypost/queries.py
+++ b/jaypost/queries.py
@@ -103,6 +103,7 @@
         ("ready", "yes" if node.ready else f"no: {node.not_ready_because}"),
         ("version in force", node.in_force_version),
         ("version held", node.held_version),
+        ("behind", f"for {node.version_lag_s:.1f} s" if node.version_lag_s else "no"),
         ("refusal reasons", "; ".join(node.problems)),
         ("reader", "yes" if node.reader else "no"),
         ("last store answer", "store not contacted" if age is None else f"{age:.1f} s ago"),
--- a/tests/test_metrics.py
+++ b/tests/test_metrics.py
@@ -102,6 +102,7 @@
         (lambda m: m.version_applied(7, 1.5), 'convergence_lag_seconds_bucket{le="2.0"} 1'),
         (lambda m: m.version_applied(7, -3.0), 'convergence_lag_seconds_bucket{le="0.05"} 1'),
         (lambda m: m.version_held(8), "version_held 8"),
+        (lambda m: m.version_lag(1.5), "version_lag_seconds 1.5"),
         (lambda m: m.version_refused(), "versions_refused_total 1"),
         (lambda m: m.version_stale(), "versions_stale_total 1"),
         (
