Found a fleet by few nodes after a loss of all, and spread one copy of the table

A founder reads the whole document (0.5 MB) from the store; on links of 7 Mbit/s and on the link between regions the copies took seconds. Nodes that joined got the table from a peer and read the document as well, since fewer than three peers could tell their version. Each reply to a node without a version carried a whole table. A candidate that came during a round did not end the pause after it.

Change: a restarted node tries the seeds for a random time, longer far from the store, before it founds a fleet; a founder invites the seeds; a seed that does not answer holds up no round; a node that was declined waits for the invitation. Peers tell when the store is known to have held no newer version, so that a restarted node needs neither three peers nor the store. Join replies carry the table only within a region.

--- a/jaypost/daemon.py
+++ b/jaypost/daemon.py
@@ -20,7 +20,7 @@
 import structlog
 import uvloop
 
-from jaypost import __version__, logs, settings
+from jaypost import STARTED_AT, __version__, logs, settings
 from jaypost.admin import AdminServer, FleetReport, Readiness
 from jaypost.admission import Admission
 from jaypost.announcements import AdoptDepartures, Announcements, Departure, DrainAll
@@ -75,6 +75,8 @@
 # Time that a starting node waits for its peers to receive a first version, and how often it looks.
 FIRST_VERSION_WAIT_S = 2.0
 FIRST_VERSION_CHECK_S = 0.05
+# Interval at which a restarted node asks one of its peers for the newest version meanwhile.
+FIRST_VERSION_ASK_INTERVAL_S = 0.15
 # Mean time between the reads of the table by nodes that have waited in vain, and the longest time
 # over which their reads are spread.
 FIRST_READ_INTERVAL_S = 0.25
@@ -236,6 +238,7 @@
         )
         self.gossip.store_contact_age_s = self._store_contact_age_s
         self.gossip.store_round_trip_s = lambda: self.store.round_trip_s
+        self.gossip.read_newest_at = lambda: self.reader.newest_at
         await self.gossip.start()
 
     def _store_contact_age_s(self) -> float | None:
@@ -330,10 +333,7 @@
             self._spawn(self._load_departures())
         self._not_ready_reason = "the newest table version is not known yet"
         if not (isinstance(outcome, Joined) and await self._has_version_of_peers(outcome)):
-            read = await self.reader.read_once()
-            while isinstance(read, ReadFailed) and not isinstance(outcome, Joined):
-                await asyncio.sleep(self.settings.store_backoff_min_s)
-                read = await self.reader.read_once()
+            await self._read_first_version(retry=not isinstance(outcome, Joined))
         self.holder.resume_activation(outcome.highest_version if isinstance(outcome, Joined) else 0)
         self._not_ready_reason = "the newest table version is not in force yet"
         await self._replicate_and_activate()
@@ -355,17 +355,41 @@
         The other nodes wait for that rather than read the store themselves. If it takes too long,
         they read it one after the other, because many copies of the table at once would delay each
         other on a narrow link.
+
+        After a restart, the newest version is known if the store held no newer one at some time
+        since this process started, or if enough peers were asked.
         """
-        if joined.answered_peers < PEERS_TO_ASK and not self.settings.first_start:
+        known = self.settings.first_start or joined.answered_peers >= PEERS_TO_ASK
+        if not known and joined.highest_version and not self._knows_newest_version():
             return False
         spread_s = min(FIRST_READ_INTERVAL_S * len(self.view), FIRST_READS_MAX_SPREAD_S)
         turn_s = self._rng.uniform(0.0, spread_s)
         waited_until = time.monotonic() + FIRST_VERSION_WAIT_S + turn_s
-        while time.monotonic() < waited_until and not self.gossip.reads_store():
-            if self.holder.held_version >= max(joined.highest_version, 1):
+        ask_at = 0.0
+        while time.monotonic() < waited_until:
+            known = known or self._knows_newest_version()
+            if known and self.holder.held_version >= max(joined.highest_version, 1):
                 return True
+            if self.settings.first_start and self.gossip.reads_store():
+                return False
+            if not self.settings.first_start and time.monotonic() >= ask_at:
+                self.gossip.ask_for_newest_version()
+                ask_at = time.monotonic() + FIRST_VERSION_ASK_INTERVAL_S
             await asyncio.sleep(FIRST_VERSION_CHECK_S)
-        return self.holder.held_version >= max(joined.highest_version, 1)
+        return False
+
+    async def _read_first_version(self, retry: bool) -> None:
+        """Read the table from the store; with `retry`, until it succeeds or a peer has sent it."""
+        while isinstance(await self.reader.read_once(), ReadFailed) and retry:
+            self.gossip.ask_for_newest_version()
+            await asyncio.sleep(self.settings.store_backoff_min_s)
+            if self.holder.held_version and self._knows_newest_version():
+                return
+
+    def _knows_newest_version(self) -> bool:
+        """Return whether the held version is at least as new as any used before the restart."""
+        newest_at = self.gossip.newest_at()
+        return newest_at is not None and newest_at >= STARTED_AT
 
     async def _load_departures(self) -> None:
         """Adopt the departures kept in the store by an earlier process; retry until it answers."""
--- a/jaypost/gossip.py
+++ b/jaypost/gossip.py
@@ -32,7 +32,8 @@
     ReaderElection,
     candidates,
 )
-from jaypost.joining import Founded, Joiner, JoinOutcome, JoinServer
+from jaypost.freshness import VersionFreshness
+from jaypost.joining import SEEDS_JOINING_WAIT_S, Founded, Joiner, JoinOutcome, JoinServer
 from jaypost.logs import EventName
 from jaypost.messages import (
     Beacon,
@@ -117,6 +118,8 @@
 # Interval at which a reader renews the lease of its seed, and joins at seeds that are not in its
 # view.
 SEED_REFRESH_INTERVAL_S = 20.0
+# Interval at which the founder of a fleet tries seeds that have not answered.
+SEED_INVITATION_INTERVAL_S = 0.1
 # Sync intervals for which a node has to be a reader before it registers its seed. While a fleet
 # starts, many nodes are readers for a moment, before they know the other nodes.
 INTERVALS_BEFORE_REGISTRATION = 3
@@ -200,6 +203,9 @@
         Returns the seconds since the store last answered a read of the table; None before that.
     store_round_trip_s : Callable[[], float or None]
         Returns the round trip to the store in seconds; None if it is not known.
+    read_newest_at : Callable[[], float or None]
+        Returns the monotonic time of the last read of the store by this node after which the node
+        held the newest version; None before the first.
     """
 
     def __init__(
@@ -239,6 +245,8 @@
             own.node_id, settings.watch_wait_s + settings.store_timeout_s + CONTACT_SLACK_S
         )
         self._version_lag = VersionLag()
+        self._freshness = VersionFreshness()
+        self._fetching_table = False
         self._catch_up_task: asyncio.Task[object] | None = None
         self._pushed_version = holder.held_version
         self._notified_change_count = view.change_count
@@ -251,6 +259,7 @@
         self.status_problems: Callable[[], tuple[str, ...]] = tuple
         self.store_contact_age_s: Callable[[], float | None] = lambda: None
         self.store_round_trip_s: Callable[[], float | None] = lambda: None
+        self.read_newest_at: Callable[[], float | None] = lambda: None
 
     # Life cycle
 
@@ -345,6 +354,40 @@
         place = self._election.regional_place(candidates(self._view))
         return self._fallback_reader or place is not None
 
+    def newest_at(self) -> float | None:
+        """Return the last time at which the store is known to have held no newer version.
+
+        Returns
+        -------
+        float or None
+            Monotonic time in seconds, from the reads of this node and from what peers told of
+            theirs; None if it is not known.
+        """
+        read_at = self.read_newest_at()
+        if read_at is not None:
+            self._freshness.note(self._holder.held_version, read_at)
+        return self._freshness.newest_at(self._holder.held_version)
+
+    def _newest_age_s(self) -> float | None:
+        newest_at = self.newest_at()
+        return None if newest_at is None else time.monotonic() - newest_at
+
+    def ask_for_newest_version(self) -> None:
+        """Ask one node for its version and for `newest_at`.
+
+        This is a node of the own region. Those of other regions are asked so rarely that about one
+        node of this region asks them at a time, because a link between regions may be narrow.
+        """
+        own_region = sum(record.region == self._view.own.region for record in self._view.records())
+        scopes = [Scope.DOMAIN, Scope.REGION]
+        self._rng.shuffle(scopes)
+        scopes.insert(0 if self._rng.randrange(own_region) == 0 else 2, Scope.CROSS_REGION)
+        for scope in scopes:
+            peers = self._view.sample(self._rng, scope, 1)
+            if peers:
+                self._spawn(self._ask_version(peers[0]))
+                return
+
     def publish(
         self, state: NodeState | None = None, targets: tuple[Target, ...] | None = None
     ) -> NodeRecord:
@@ -736,6 +779,7 @@
 
     async def _sync_once(self, peer: NodeRecord) -> bool:
         """Synchronise with a peer; return whether it answered, with a reply or a refusal."""
+        sent_at = time.monotonic()
         outcome = await self._call(peer, self._sync_request(peer))
         if not isinstance(outcome, Replied):
             # A peer that refuses a call is running.
@@ -743,6 +787,7 @@
         reply: SyncReply = outcome.message
         if reply.node_id != peer.node_id:
             return False  # another node has taken over the address
+        self._freshness.note_reply(reply.held_version, reply.newest_age_s, sent_at)
         accusation = self._record_contact(peer.node_id)
         self._apply_accusations(reply.accusations)
         if peer.failure_domain == self._view.own.failure_domain:
@@ -764,7 +809,14 @@
             await self._send_missing_versions(peer, reply.held_version)
 
     async def _fetch_table(self, peer: NodeRecord) -> None:
-        outcome = await self._call(peer, FetchTable(self._own_id), TABLE_TIMEOUT_S)
+        """Fetch the table of a peer, unless another copy is already on its way."""
+        if self._fetching_table:
+            return
+        self._fetching_table = True
+        try:
+            outcome = await self._call(peer, FetchTable(self._own_id), TABLE_TIMEOUT_S)
+        finally:
+            self._fetching_table = False
         if isinstance(outcome, Replied) and outcome.message.table is not None:
             self._offer_table(outcome.message.table)
 
@@ -931,9 +983,31 @@
         """Join at seeds whose addresses are not in the view, to merge fleets founded separately."""
         assert self._seeds is not None
         known = {record.control_address for record in self._view.records()}
-        seeds = await self._seeds.read() or ()
+        seeds = await self._seeds.read(allow_stale=True) or ()
         await asyncio.gather(*(self._join_at(seed) for seed in seeds if seed.address not in known))
 
+    async def _invite_seeds(self) -> None:
+        """Send `Join` to the seeds in the store until they answer.
+
+        A seed that has founded a fleet as well replies, which merges the fleets. One that is about
+        to join joins at this node. After a loss of all nodes, most seeds start later than the
+        founder of the fleet, and the other nodes look for them.
+        """
+        assert self._seeds is not None
+        known = {record.control_address for record in self._view.records()}
+        for seed in await self._seeds.read(allow_stale=True) or ():
+            if seed.address not in known:
+                self._spawn(self._invite_seed(seed))
+
+    async def _invite_seed(self, seed: Seed) -> None:
+        until = time.monotonic() + SEEDS_JOINING_WAIT_S
+        while time.monotonic() < until:
+            outcome = await self._join_at(seed)
+            declined = isinstance(outcome, Failed) and outcome.reason is FailureReason.REFUSED
+            if isinstance(outcome, Replied) or declined:
+                return
+            await asyncio.sleep(self._jittered(SEED_INVITATION_INTERVAL_S))
+
     async def join(self) -> JoinOutcome:
         """Get all records and the table from a peer; see `Joiner.run`."""
         joiner = Joiner(
@@ -945,13 +1019,14 @@
             self._ask_version,
             self._take_join_candidates,
             self._wait_for_join_candidate,
+            self.store_round_trip_s,
         )
         outcome = await joiner.run()
         self._joined = True
         self._queue_records(self._view.own)
         self._invite_declined()
         if isinstance(outcome, Founded) and self._seeds is not None:
-            self._spawn(self._join_unknown_seeds())  # others may have founded fleets too
+            self._spawn(self._invite_seeds())
         log.info(
             "joined", node=self._own_id, records=len(self._view), outcome=type(outcome).__name__
         )
@@ -987,10 +1062,13 @@
         request = Join(self._own_id, self._view.own, self._joined)
         domain = self._view.own.failure_domain
         link = Link.DOMAIN if seed.failure_domain == domain else Link.UNKNOWN
+        sent_at = time.monotonic()
         outcome = await self._channels.call(seed.address, request, JOIN_TIMEOUT_S, link)
         if isinstance(outcome, Replied):
+            reply: JoinReply = outcome.message
+            self._freshness.note_reply(reply.held_version, reply.newest_age_s, sent_at)
             try:
-                await self._apply_join_reply(outcome.message)
+                await self._apply_join_reply(reply)
             except (ValueError, zlib.error) as error:
                 return Failed(FailureReason.BAD_REPLY, str(error))
         return outcome
@@ -1013,7 +1091,9 @@
             self._spawn(self._join_at(seed))
 
     async def _wait_for_join_candidate(self, timeout_s: float) -> None:
-        """Return when a join candidate is added, or after `timeout_s` seconds."""
+        """Return when there is a join candidate, or after `timeout_s` seconds."""
+        if self._join_candidate_by_address:
+            return  # added since the candidates were taken
         self._join_candidate_added.clear()
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(timeout_s):
@@ -1037,13 +1117,15 @@
         self._apply_beacons(reply.beacons)
 
     async def _ask_version(self, peer: NodeRecord) -> int | None:
+        sent_at = time.monotonic()
         outcome = await self._call(peer, self._sync_request(peer))
         if not isinstance(outcome, Replied) or outcome.message.node_id != peer.node_id:
             return None
+        reply: SyncReply = outcome.message
+        self._freshness.note_reply(reply.held_version, reply.newest_age_s, sent_at)
         self._record_contact(peer.node_id)
-        await self._exchange_versions(peer, outcome.message)
-        held_version: int = outcome.message.held_version
-        return held_version
+        await self._exchange_versions(peer, reply)
+        return reply.held_version
 
     # Status
 
@@ -1089,7 +1171,9 @@
         if accusation is not None:
             accusations = (accusation, *accusations)
         deltas: tuple[Delta, ...] = ()
-        if request.held_version < self._holder.held_version:
+        # The delta from nothing is a whole table. A node that holds none fetches one copy of it,
+        # instead of receiving one from each node that it asks.
+        if 0 < request.held_version < self._holder.held_version:
             deltas = self._holder.deltas_since(request.held_version) or ()
         return SyncReply(
             self._own_id,
@@ -1098,6 +1182,7 @@
             self._beacon_tracker.fresh(now) if same_domain else (),
             accusations,
             deltas if len(deltas) <= MAX_DELTAS_PER_MESSAGE else (),
+            self._newest_age_s(),
         )
 
     @_handle.register
@@ -1144,16 +1229,28 @@
         self._merge_records((request.record,), {}, spread=True)
         same_domain = request.record.failure_domain == self._view.own.failure_domain
         now = time.monotonic()
+        pieces = await self._join_server.pieces(now)
         return JoinReply(
             self._own_id,
             self._holder.held_version,
-            self._join_server.table(self._holder.table_for_replies),
-            await self._join_server.pieces(now),
+            self._table_for_join(request.record),
+            pieces,
             self._view.accusations(now),
             self._beacon_tracker.fresh(now) if same_domain else (),
             previous,
+            self._newest_age_s(),
         )
 
+    def _table_for_join(self, joining: NodeRecord) -> bytes:
+        """Return the packed table for a node of the own region; empty for one of another region.
+
+        Copies of the table for many nodes that join at once would fill a narrow link between
+        regions. A node that gets none asks the nodes near it for their versions next.
+        """
+        if joining.region != self._view.own.region:
+            return b""
+        return self._join_server.table(self._holder.table_for_replies)
+
     @_handle.register
     async def _(self, request: FetchTable) -> FetchTableReply:
         has_table = self._holder.held_version > 0
--- a/jaypost/joining.py
+++ b/jaypost/joining.py
@@ -8,13 +8,14 @@
 
 import asyncio
 import random
+from collections import Counter
 from collections.abc import Awaitable, Callable, Coroutine, Sequence
 from dataclasses import dataclass
 from typing import Any
 
 from jaypost.messages import JoinReply, RecordPiece
 from jaypost.peers import Busy, CallOutcome, Failed, FailureReason, Replied, pack
-from jaypost.records import NodeRecord, Table
+from jaypost.records import Address, NodeRecord, Table
 from jaypost.seeds import Seed, SeedDirectory
 from jaypost.settings import Settings
 from jaypost.updates import TokenBucket
@@ -35,12 +36,14 @@
 PEERS_TO_ASK = 3
 # A host without power does not answer at all; the next node is tried after this time.
 NEXT_PEER_DELAY_S = 0.2
+# The same for a restarted node. Some of the seeds that it finds in the store may be gone for good.
+RESTART_NEXT_PEER_DELAY_S = 0.1
 # Shares of the nodes of a fleet that starts for the first time, and after how many seconds they
 # look for others. So a few nodes register seeds and found the fleet, whatever its size, and the
 # others find these.
 FIRST_START_DELAYS_S = ((1 / 64, 0.0), (1 / 16, 0.4), (1 / 4, 0.8), (1.0, 1.2))
 # Seeds that were read from the store are used for this time in seconds.
-SEEDS_MAX_AGE_S = 1.0
+SEEDS_MAX_AGE_S = 2.0
 # Bounds of the random pause between registering the own seed and looking for seeds of other nodes.
 FOUNDER_PAUSE_RANGE_S = (0.5, 1.0)
 FAILED_ROUNDS_BEFORE_FOUNDING = 2
@@ -49,10 +52,21 @@
 # A node whose configured seeds are running but have not joined yet waits for them this long before
 # it looks for other seeds in the store. The configured seeds look there at once.
 SEEDS_JOINING_WAIT_S = 2.0
+# Bounds of the random time in seconds for which a restarted node looks for others before it founds
+# a fleet, if it is one of the seeds in the store and if it is not. After a loss of all nodes, few
+# nodes found a fleet, and read the table. The others join at the seeds.
+SEED_FOUNDING_RANGE_S = (0.2, 0.5)
+FOUNDING_RANGE_S = (0.3, 1.5)
+# The wait is longer by this many round trips to the store: a node near the store reads the table
+# faster, and not over a narrow link between regions.
+FOUNDING_ROUND_TRIPS = 15
 # Bounds of the random pause after a node declined because it has not joined yet. Nodes that were
 # killed together are all in this state. If two of them found a fleet at the same time, an
 # invitation merges the fleets; see `Gossip._invite_declined`.
 JOINING_PEER_PAUSE_RANGE_S = (0.05, 0.15)
+# The same after a seed in the store declined. It invites this node when it has joined. More calls
+# of many nodes would take the processor time that the few seeds need to join.
+DECLINED_PAUSE_RANGE_S = (0.4, 0.8)
 
 
 @dataclass(frozen=True, slots=True)
@@ -196,6 +210,8 @@
         not asked because a join candidate or a configured seed had replied.
     store_asked : bool
         Whether the seeds in the store were read.
+    is_seed : bool
+        Whether this node is one of the seeds.
     """
 
     reply: JoinReply | None
@@ -204,6 +220,7 @@
     seeds_tried: bool
     store_answered: bool
     store_asked: bool = True
+    is_seed: bool = False
 
 
 class Joiner:
@@ -227,6 +244,8 @@
         Returns and forgets the join candidates: nodes that have contacted this one.
     wait : callable
         Waits between two rounds for a time in seconds, or until there is a join candidate.
+    store_round_trip_s : callable
+        Returns the round trip to the store in seconds; None if it is not known.
     """
 
     def __init__(
@@ -239,7 +258,9 @@
         ask_version: Callable[[NodeRecord], Awaitable[int | None]],
         take_join_candidates: Callable[[], Sequence[Seed]] = tuple,
         wait: Callable[[float], Awaitable[None]] = asyncio.sleep,
+        store_round_trip_s: Callable[[], float | None] = lambda: None,
     ) -> None:
+        self._store_round_trip_s = store_round_trip_s
         self._take_join_candidates = take_join_candidates
         self._wait = wait
         self._settings = settings
@@ -250,6 +271,9 @@
         self._ask_version = ask_version
         self._seeds_in_store: tuple[Seed, ...] | None = None
         self._seeds_read_at = 0.0
+        self._attempts_by_address: Counter[Address] = Counter()
+        # Calls of `Join` without an outcome.
+        self._call_by_address: dict[Address, asyncio.Task[CallOutcome]] = {}
 
     async def run(self) -> JoinOutcome:
         """Get all records and the table from a peer; repeat until it succeeds.
@@ -262,6 +286,15 @@
         JoinOutcome
             `Founded` when the store is available and no other node answers, else `Joined`.
         """
+        try:
+            return await self._join_or_found()
+        finally:
+            calls = tuple(self._call_by_address.values())
+            for call in calls:
+                call.cancel()
+            await asyncio.gather(*calls, return_exceptions=True)
+
+    async def _join_or_found(self) -> JoinOutcome:
         pause_s = self._rng.uniform(0.0, self._settings.join_jitter_s)
         if self._settings.first_start:
             pause_s += self._first_start_delay_s()
@@ -269,28 +302,53 @@
         delay_s = self._settings.store_backoff_min_s
         failed_rounds = 0
         clock = asyncio.get_running_loop().time
-        waits_for_seeds_until = clock() + SEEDS_JOINING_WAIT_S
+        started_at = clock()
+        waits_for_seeds_until = started_at + SEEDS_JOINING_WAIT_S
+        patience = self._rng.random()
         while True:
             result = await self._run_round(clock() < waits_for_seeds_until)
             if result.reply is not None:
                 return await self._ask_for_versions(result.reply)
-            # Seeds of a fleet that starts for the first time are about to found it.
-            founders_exist = (
-                self._settings.first_start and result.joining and clock() < waits_for_seeds_until
-            )
-            if result.busy_delay_s is None and result.store_answered and not founders_exist:
+            founds_at = started_at + self._seeds_wait_s(result, patience)
+            waits_for_seeds = clock() < founds_at
+            if result.busy_delay_s is None and result.store_answered and not waits_for_seeds:
                 failed_rounds += 1
-                if await self._may_found_fleet(result.seeds_tried, failed_rounds):
+                has_waited = founds_at > started_at
+                if await self._may_found_fleet(result.seeds_tried, failed_rounds, has_waited):
                     return Founded()
             if result.busy_delay_s is not None:
                 delay_s = self._next_delay(delay_s)
                 await asyncio.sleep(max(delay_s, result.busy_delay_s))
-            elif result.joining and (result.store_answered or not result.store_asked):
+            elif waits_for_seeds and result.joining and not self._settings.first_start:
+                await self._wait(self._rng.uniform(*DECLINED_PAUSE_RANGE_S))
+            elif waits_for_seeds or (
+                result.joining and (result.store_answered or not result.store_asked)
+            ):
                 await self._wait(self._rng.uniform(*JOINING_PEER_PAUSE_RANGE_S))
             else:
                 delay_s = self._next_delay(delay_s)
                 await self._wait(delay_s)
 
+    def _seeds_wait_s(self, result: _Round, patience: float) -> float:
+        """Return how long to look for seeds before founding a fleet.
+
+        Parameters
+        ----------
+        result : _Round
+            The last round.
+        patience : float
+            Place of this node in the range of the waits, from 0 to 1.
+        """
+        if self._settings.first_start:
+            return SEEDS_JOINING_WAIT_S if result.joining else 0.0
+        if not result.store_answered or not result.seeds_tried:
+            return 0.0
+        distance_s = FOUNDING_ROUND_TRIPS * (self._store_round_trip_s() or 0.0)
+        if result.joining and not result.is_seed:
+            return SEEDS_JOINING_WAIT_S + distance_s  # a seed is running and will found or join
+        shortest_s, longest_s = SEED_FOUNDING_RANGE_S if result.is_seed else FOUNDING_RANGE_S
+        return shortest_s + patience * (longest_s - shortest_s) + distance_s
+
     async def _run_round(self, waits_for_seeds: bool) -> _Round:
         """Try the join candidates and the configured seeds, then those in the store.
 
@@ -301,16 +359,20 @@
         candidates = self._nearest_first(self._take_join_candidates())
         configured = self._nearest_first([Seed("", item) for item in self._settings.seeds])
         known = [*candidates, *configured]
-        attempt = await self._join_first_available(known)
+        attempt = await self._join_first_available(known, wait_for_all=True)
         if attempt.reply is not None:
             return _Round(attempt.reply, None, False, True, False, store_asked=False)
-        is_seed = self._view.own.control_address in self._settings.seeds
+        own_address = self._view.own.control_address
+        is_seed = own_address in self._settings.seeds
         if waits_for_seeds and configured and attempt.joining and not is_seed:
             return _Round(None, attempt.busy_delay_s, True, True, False, store_asked=False)
         in_store = await self._read_seeds() if self._seeds is not None else ()
         tried = {seed.address for seed in known[:PEERS_TO_ASK]}
         seeds = self._nearest_first([item for item in in_store or () if item.address not in tried])
-        store_attempt = await self._join_first_available(seeds)
+        # Seeds of hosts without power stay in the store for a while, and never answer.
+        store_attempt = await self._join_first_available(
+            seeds, wait_for_all=self._settings.first_start
+        )
         delays_s = [
             item.busy_delay_s for item in (attempt, store_attempt) if item.busy_delay_s is not None
         ]
@@ -320,12 +382,21 @@
             attempt.joining or store_attempt.joining,
             bool(known or seeds),
             in_store is not None,
+            is_seed=is_seed or any(seed.address == own_address for seed in in_store or ()),
         )
 
     async def _read_seeds(self) -> tuple[Seed, ...] | None:
-        """Return the seeds in the store; those of the last read while they are recent."""
+        """Return the seeds in the store; those of the last read while they are recent.
+
+        The first read may be stale, because most seeds are older than that.
+        """
         assert self._seeds is not None
         now = asyncio.get_running_loop().time()
+        if self._seeds_in_store is None:
+            self._seeds_in_store = await self._seeds.read(allow_stale=True)
+            self._seeds_read_at = now
+            if self._seeds_in_store is None:
+                return None
         if not self._seeds_in_store or now - self._seeds_read_at > SEEDS_MAX_AGE_S:
             self._seeds_in_store = await self._seeds.read()
             self._seeds_read_at = now
@@ -340,15 +411,17 @@
         drawn_s = self._rng.uniform(shortest_s, BACKOFF_FACTOR * delay_s)
         return min(self._settings.store_backoff_max_s, drawn_s)
 
-    async def _may_found_fleet(self, seeds_tried: bool, failed_rounds: int) -> bool:
+    async def _may_found_fleet(
+        self, seeds_tried: bool, failed_rounds: int, has_waited: bool
+    ) -> bool:
         """Tell whether this node may found a fleet, because it has found no other node.
 
-        A node that has tried other nodes may do so after `FAILED_ROUNDS_BEFORE_FOUNDING` rounds. A
-        node without seeds registers its own one and looks for others again after a pause, so that
-        nodes which start together find each other.
+        A node that has tried other nodes may do so after `FAILED_ROUNDS_BEFORE_FOUNDING` rounds, or
+        once it has waited for seeds. A node without seeds registers its own one and looks for
+        others again after a pause, so that nodes which start together find each other.
         """
         if seeds_tried:
-            return failed_rounds >= FAILED_ROUNDS_BEFORE_FOUNDING
+            return has_waited or failed_rounds >= FAILED_ROUNDS_BEFORE_FOUNDING
         if self._seeds is None:
             return True
         await self._seeds.register(self._view.own.control_address)
@@ -367,40 +440,51 @@
         own = self._view.own
         seeds = [seed for seed in nodes if seed.address != own.control_address]
         self._rng.shuffle(seeds)
-        # A join reply contains all records, and links between regions are billed by volume.
+        # A join reply contains all records, and links between regions are billed by volume. Seeds
+        # that were tried before come last, because they may be gone for good.
         return sorted(
             seeds,
             key=lambda seed: (
+                self._attempts_by_address[seed.address],
                 seed.failure_domain != own.failure_domain,
                 seed.region != own.region,
             ),
         )
 
-    async def _join_first_available(self, seeds: Sequence[Seed]) -> _Attempt:
+    async def _join_first_available(self, seeds: Sequence[Seed], wait_for_all: bool) -> _Attempt:
         """Send `Join` to some nodes, one after the other, and return the first reply.
 
-        The next node is tried when a call fails, or after `NEXT_PEER_DELAY_S` without an outcome.
+        The next node is tried when a call fails, or after a while without an outcome. Without
+        `wait_for_all`, the last one gets no more time than the others; its reply may come during a
+        later call of this method.
         """
+        if not seeds:
+            return _Attempt(None, None, False)
         outcomes: list[CallOutcome] = []
-        pending: set[asyncio.Task[CallOutcome]] = set()
-        remaining = list(seeds[:PEERS_TO_ASK])
-        try:
-            while remaining or pending:
-                if remaining:
-                    pending.add(asyncio.create_task(self._join_at(remaining.pop(0))))
-                timeout_s = NEXT_PEER_DELAY_S if remaining else None
-                done, pending = await asyncio.wait(
-                    pending, timeout=timeout_s, return_when=asyncio.FIRST_COMPLETED
-                )
-                for task in done:
-                    outcome = task.result()
-                    if isinstance(outcome, Replied):
-                        return _Attempt(outcome.message, None, False)
-                    outcomes.append(outcome)
-        finally:
-            for task in pending:
-                task.cancel()
-            await asyncio.gather(*pending, return_exceptions=True)
+        asked: set[Address] = set()
+        delay_s = NEXT_PEER_DELAY_S if wait_for_all else RESTART_NEXT_PEER_DELAY_S
+        remaining = [seed for seed in seeds if seed.address not in self._call_by_address]
+        remaining = remaining[:PEERS_TO_ASK]
+        while remaining or self._call_by_address:
+            if remaining:
+                seed = remaining.pop(0)
+                self._attempts_by_address[seed.address] += 1
+                self._call_by_address[seed.address] = asyncio.create_task(self._join_at(seed))
+                asked.add(seed.address)
+            await asyncio.wait(
+                self._call_by_address.values(),
+                timeout=None if wait_for_all and not remaining else delay_s,
+                return_when=asyncio.FIRST_COMPLETED,
+            )
+            done = [address for address, call in self._call_by_address.items() if call.done()]
+            for address in done:
+                outcome = self._call_by_address.pop(address).result()
+                if isinstance(outcome, Replied):
+                    return _Attempt(outcome.message, None, False)
+                outcomes.append(outcome)
+            unanswered = asked & self._call_by_address.keys()
+            if not remaining and not (unanswered if wait_for_all else done):
+                break
         busy_delays_s = [item.retry_after_s for item in outcomes if isinstance(item, Busy)]
         joining = any(
             isinstance(item, Failed) and item.reason is FailureReason.REFUSED for item in outcomes
--- a/jaypost/messages.py
+++ b/jaypost/messages.py
@@ -62,7 +62,11 @@
 
 @dataclass(frozen=True, slots=True)
 class SyncReply:
-    """State of the receiver of `Sync`, with the deltas that the sender lacks when they are few."""
+    """State of the receiver of `Sync`, with the deltas that the sender lacks when they are few.
+
+    `newest_age_s` is the time in seconds since the store is known to have held no version above
+    `held_version`; None if that is unknown.
+    """
 
     node_id: str
     held_version: int
@@ -70,6 +74,7 @@
     beacons: tuple[Beacon, ...] = ()
     accusations: tuple[AgedAccusation, ...] = ()
     deltas: tuple[Delta, ...] = ()
+    newest_age_s: float | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -249,7 +254,8 @@
     held_version : int
         Version that it holds.
     table : bytes
-        Packed `Table`; empty when the receiver holds none.
+        Packed `Table`; empty when the receiver holds none, or is in another region than the joining
+        node, which then looks for a nearer copy.
     pieces : tuple of bytes
         Packed `RecordPiece` messages.
     accusations : tuple of AgedAccusation
@@ -258,6 +264,8 @@
         Beacons known to the receiver, if it is in the same failure domain.
     previous : NodeRecord or None
         Record that the receiver had of the joining node before this `Join`.
+    newest_age_s : float or None
+        As in `SyncReply`.
     """
 
     node_id: str
@@ -267,6 +275,7 @@
     accusations: tuple[AgedAccusation, ...] = ()
     beacons: tuple[Beacon, ...] = ()
     previous: NodeRecord | None = None
+    newest_age_s: float | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/jaypost/readers.py
+++ b/jaypost/readers.py
@@ -109,6 +109,9 @@
     head_read : bool
         Whether the store has returned a usable head record, or reported that there is no newer one
         or none at all, since the process started.
+    newest_at : float or None
+        Last monotonic time in seconds at which the store is known to have held no newer version
+        than this node; None before the first such read.
     """
 
     def __init__(
@@ -144,7 +147,9 @@
         self._watch_wait_s = min(
             settings.watch_wait_s, settings.beacon_timeout_s / WATCHES_PER_BEACON_TIMEOUT
         )
+        self._version_in_store: int | None = 0  # None while the record is damaged
         self.last_contact: float | None = None
+        self.newest_at: float | None = None
         self.head_read = False
 
     def start(self) -> None:
@@ -278,6 +283,15 @@
 
     async def _read(self, wait_s: float) -> ReadOutcome:
         """Watch the table source for up to `wait_s` seconds and offer a new version."""
+        started_at = self._clock()
+        outcome = await self._read_source(wait_s)
+        in_store = self._version_in_store
+        if not isinstance(outcome, ReadFailed) and in_store is not None:
+            if self._holder.held_version >= in_store:
+                self.newest_at = started_at
+        return outcome
+
+    async def _read_source(self, wait_s: float) -> ReadOutcome:
         if self._damaged_retry_at is not None and self._clock() >= self._damaged_retry_at:
             self._damaged_retry_at = None
             # From revision 0, the watch returns the damaged record again at once.
@@ -304,6 +318,7 @@
             return self._skip_damaged(
                 found.revision, f"{self._source.key} is damaged: {head.reason}"
             )
+        self._version_in_store = head.version
         failure: StoreFailed | None = None
         if isinstance(head, Table):
             self._offer_table(head)
@@ -321,6 +336,7 @@
     def _skip_damaged(self, revision: int, reason: str) -> ReadFailed:
         """Ignore a damaged record until the head record changes or the retry delay has passed."""
         log.error("version_refused", reason=reason)
+        self._version_in_store = None
         self._last_revision = revision
         self._damaged_retry_at = self._clock() + DAMAGED_RETRY_DELAY_S
         return ReadFailed(reason)
--- a/jaypost/seeds.py
+++ b/jaypost/seeds.py
@@ -41,8 +41,8 @@
         """Delete a key."""
         ...
 
-    async def list(self, prefix: str) -> ListOutcome:
-        """Read all keys that start with a prefix."""
+    async def list(self, prefix: str, allow_stale: bool = False) -> ListOutcome:
+        """Read all keys that start with a prefix, perhaps as they were some seconds ago."""
         ...
 
     async def grant_lease(self, ttl_s: float) -> GrantOutcome:
@@ -66,8 +66,11 @@
 class SeedDirectory(Protocol):
     """The seeds as gossip uses them; `StoreSeeds` implements this on the store."""
 
-    async def read(self) -> tuple[Seed, ...] | None:
-        """Return the seeds, or None when the store is not available."""
+    async def read(self, allow_stale: bool = False) -> tuple[Seed, ...] | None:
+        """Return the seeds, or None when the store is not available.
+
+        With `allow_stale`, which is cheaper, these are perhaps the seeds of some seconds ago.
+        """
 
     async def register(self, address: Address) -> bool:
         """Register the own seed or renew its lease; tell whether it is registered."""
@@ -97,9 +100,9 @@
         self._key = f"{SEED_PREFIX}{failure_domain}/{node_id}"
         self._lease_id: str | None = None
 
-    async def read(self) -> tuple[Seed, ...] | None:
+    async def read(self, allow_stale: bool = False) -> tuple[Seed, ...] | None:
         """Return the well-formed seeds in the store, or None when it is not available."""
-        listed = await self._store.list(SEED_PREFIX)
+        listed = await self._store.list(SEED_PREFIX, allow_stale)
         if not isinstance(listed, Listed):
             return None
         seeds = []
--- a/jaypost/store_client.py
+++ b/jaypost/store_client.py
@@ -124,8 +124,8 @@
             return Conflict(response.revision or 0)
         return unexpected_status(call, response)
 
-    async def list(self, prefix: str) -> ListOutcome:
-        """Read all keys that start with `prefix`."""
+    async def list(self, prefix: str, allow_stale: bool = False) -> ListOutcome:
+        """Read all keys that start with `prefix`; the result is current in either case."""
         call = StoreCall("GET", f"/v1/prefix/{quote(prefix)}")
         response = await self.send(call)
         if isinstance(response, StoreFailed):
--- a/standins/platform_store.py
+++ b/standins/platform_store.py
@@ -80,6 +80,7 @@
 
     async def _get_range(self, request: Request, _: str) -> Reply:
         after = request.parameters.get("after", "")
+        self.calls_by_kind["stale"] += request.parameters.get("allow_stale") == "1"
         entries = self.core.list(request.parameters["path_prefix"])
         keys = [entry.key for entry in entries if entry.key > after]
         items = [self._item(key) for key in keys[: self.page_items]]
--- a/tests/gossip_fleet.py
+++ b/tests/gossip_fleet.py
@@ -100,7 +100,7 @@
     failure_domain: str
     node_id: str
 
-    async def read(self) -> tuple[Seed, ...] | None:
+    async def read(self, allow_stale: bool = False) -> tuple[Seed, ...] | None:
         if not self.store.available:
             return None
         items = self.store.address_by_node.items()
--- a/tests/test_daemon.py
+++ b/tests/test_daemon.py
@@ -14,7 +14,7 @@
 import pytest
 from admin_fakes import VALID_ANNOUNCEMENT, load_settings
 
-from jaypost import daemon
+from jaypost import STARTED_AT, daemon
 from jaypost.announcements import Announce
 from jaypost.events import EventLog
 from jaypost.joining import Joined
@@ -119,18 +119,27 @@
         await node.close()
 
 
+# Time at which the store is known to have held no newer version, in seconds after the start.
+BEFORE_START, AFTER_START = -1.0, 1.0
+
+
 @pytest.mark.parametrize(
-    ("first_start", "answered_peers", "highest_version", "held_version", "reads"),
+    ("first_start", "answered_peers", "highest_version", "newest_at", "held_version", "reads"),
     [
-        pytest.param(False, 3, 5, 5, False, id="restart, enough peers"),
-        pytest.param(False, 2, 5, 5, True, id="restart, a peer may hold a newer version"),
-        pytest.param(False, 3, 5, 4, True, id="restart, the newest version does not arrive"),
-        pytest.param(True, 1, 0, 1, False, id="first start, the version arrives from a peer"),
-        pytest.param(True, 1, 0, 0, True, id="first start, no version arrives"),
+        pytest.param(False, 3, 5, None, 5, False, id="restart, enough peers"),
+        pytest.param(False, 2, 5, None, 5, True, id="restart, a peer may hold a newer version"),
+        pytest.param(False, 2, 5, BEFORE_START, 5, True, id="restart, it was read before that"),
+        pytest.param(False, 1, 5, AFTER_START, 5, False, id="restart, a peer read it since then"),
+        pytest.param(False, 1, 5, AFTER_START, 4, True, id="restart, that version does not arrive"),
+        pytest.param(False, 1, 0, AFTER_START, 5, False, id="all restart, a peer reads it"),
+        pytest.param(False, 1, 0, None, 5, True, id="all restart, nobody reads it"),
+        pytest.param(False, 3, 5, None, 4, True, id="restart, the newest version does not arrive"),
+        pytest.param(True, 1, 0, None, 1, False, id="first start, the version arrives from a peer"),
+        pytest.param(True, 1, 0, None, 0, True, id="first start, no version arrives"),
     ],
 )
 async def test_starting_node_reads_the_table_only_without_that_of_its_peers(
-    monkeypatch, first_start, answered_peers, highest_version, held_version, reads
+    monkeypatch, first_start, answered_peers, highest_version, newest_at, held_version, reads
 ):
     """Whole fleet starts at once: guards against a copy of the table from the store for each node.
 
@@ -139,7 +148,21 @@
     monkeypatch.setattr(daemon, "FIRST_VERSION_WAIT_S", 0.1)
     monkeypatch.setattr(daemon, "FIRST_READ_INTERVAL_S", 0.0)
     node = daemon.Node(load_settings(first_start=first_start), EventLog())
-    node.gossip = SimpleNamespace(reads_store=lambda: False)
+    asked: list[bool] = []
+
+    def ask_for_newest_version() -> None:
+        asked.append(True)
+
+    def known_newest_at() -> float | None:
+        # What the peers tell arrives with the first answer, unless they hold it already.
+        told = bool(highest_version) or bool(asked)
+        return STARTED_AT + newest_at if newest_at is not None and told else None
+
+    node.gossip = SimpleNamespace(
+        reads_store=lambda: False,
+        newest_at=known_newest_at,
+        ask_for_newest_version=ask_for_newest_version,
+    )
     node.holder = SimpleNamespace(held_version=held_version)
     node.view = ()
     joined = Joined(answered_peers, highest_version)
--- a/tests/test_gossip.py
+++ b/tests/test_gossip.py
@@ -8,10 +8,12 @@
 
 import pytest
 
+from jaypost.gossip import Gossip
 from jaypost.joining import Founded, Joined, JoinServer
-from jaypost.messages import Push
-from jaypost.peers import Busy, Failed, FailureReason, Replied
+from jaypost.messages import Join, JoinReply, Push
+from jaypost.peers import Busy, CallOutcome, Failed, FailureReason, Replied
 from jaypost.records import Accusation, Address, NodeState, Stamp, TargetState
+from jaypost.seeds import Seed
 from jaypost.view import MembershipView
 from tests.gossip_fleet import (
     FIRST_STAMP,
@@ -120,9 +122,9 @@
     reads: list[str] = []
     read = FakeSeeds.read
 
-    async def counted_read(seeds: FakeSeeds) -> object:
+    async def counted_read(seeds: FakeSeeds, allow_stale: bool = False) -> object:
         reads.append(seeds.node_id)
-        return await read(seeds)
+        return await read(seeds, allow_stale)
 
     monkeypatch.setattr(FakeSeeds, "read", counted_read)
     seed = await fleet.add("seed")
@@ -143,9 +145,11 @@
     for name in ("read", "register"):
         original = getattr(FakeSeeds, name)
 
-        async def counted(seeds: FakeSeeds, *args: object, name=name, original=original) -> object:
+        async def counted(
+            seeds: FakeSeeds, *args: object, name=name, original=original, **options: object
+        ) -> object:
             calls.append((name, seeds.node_id))
-            return await original(seeds, *args)
+            return await original(seeds, *args, **options)
 
         monkeypatch.setattr(FakeSeeds, name, counted)
     count = 24
@@ -486,3 +490,114 @@
     """Guards against a departure that is acknowledged although no other process knows it."""
     node = await fleet.add("alone")
     assert not await node.gossip.replicate_record()
+
+
+async def test_fleet_whose_nodes_all_lost_power_is_founded_by_its_seeds(
+    fleet: Fleet, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """All nodes lose power and are back together: guards against a fleet founded by each node.
+
+    Each founder reads the whole table from the store. Seeds of the store that are gone for good,
+    more of them than a round tries, come first.
+    """
+    await fleet.add_joined(10)
+    await eventually(lambda: converged(fleet) and all(len(n.view) == 10 for n in fleet.nodes))
+    lost = list(fleet.nodes)
+    seed = lost[0]
+    for node in lost:
+        await fleet.stop(node)
+    gone = {("d1", f"gone{i}"): Address("127.0.0.1", 1 + i) for i in range(4)}
+    fleet.store.address_by_node = gone | {("d1", seed.node_id): seed.address}
+    restarted = [
+        await fleet.add(
+            node.node_id,
+            stamp=Stamp(FIRST_STAMP.incarnation + 1, 1),
+            listen_control=node.address,
+            control_address=node.address,
+        )
+        for node in lost
+    ]
+    joins = [asyncio.create_task(node.join()) for node in restarted[1:]]
+    await asyncio.sleep(0.5)
+    joins.append(asyncio.create_task(restarted[0].join()))
+    outcomes = await asyncio.wait_for(asyncio.gather(*joins), 20)
+    assert [type(outcome) for outcome in outcomes].count(Founded) == 1
+    await eventually(lambda: all(len(node.view) == 10 for node in restarted))
+
+
+async def test_version_that_one_node_read_is_known_to_be_the_newest_by_others(fleet: Fleet) -> None:
+    """Guards against a read of the store by each of the nodes that restart together."""
+    await fleet.add_joined(3, TWO_REGIONS)
+    reader, *others = fleet.nodes
+    await eventually(lambda: converged(fleet) and all(len(n.view) == 3 for n in fleet.nodes))
+    assert [node.gossip.newest_at() for node in fleet.nodes] == [None] * 3
+    read_at = asyncio.get_running_loop().time()
+    reader.holder.held_version = 1
+    reader.gossip.read_newest_at = lambda: read_at
+    await eventually(lambda: all(node.gossip.newest_at() is not None for node in others))
+    assert [node.holder.held_version for node in others] == [1, 1]
+    assert all(node.gossip.newest_at() <= read_at for node in others)
+
+
+@pytest.mark.parametrize(("region", "copies"), [("r1", 1), ("r2", 0)])
+async def test_join_reply_carries_the_table_only_within_the_region(
+    fleet: Fleet, monkeypatch: pytest.MonkeyPatch, region: str, copies: int
+) -> None:
+    """Guards against a narrow link between regions that carries a table for each joining node."""
+    await fleet.add_joined(1)
+    fleet.nodes[0].holder.held_version = 1
+    tables: list[bytes] = []
+    apply = Gossip._apply_join_reply
+
+    async def apply_join_reply(gossip: Gossip, reply: JoinReply) -> None:
+        tables.append(reply.table)
+        await apply(gossip, reply)
+
+    monkeypatch.setattr(Gossip, "_apply_join_reply", apply_join_reply)
+    node = await fleet.add("joining", "d9", region)
+    await node.join()
+    assert len([table for table in tables if table]) == copies
+    node.gossip.ask_for_newest_version()
+    await eventually(lambda: node.holder.held_version == 1)
+
+
+@pytest.mark.parametrize(("held_version", "deltas"), [(0, 0), (1, 2)])
+async def test_node_without_a_version_gets_one_copy_of_the_table(
+    fleet: Fleet, held_version: int, deltas: int
+) -> None:
+    """All nodes lose power: guards against a whole table in each reply to a node that asks."""
+    await fleet.add_joined(2)
+    newer, asking = fleet.nodes
+    newer.holder.held_version = 3
+    asking.holder.held_version = held_version
+    outcome = await asking.gossip._call(newer.view.own, asking.gossip._sync_request(newer.view.own))
+    assert len(outcome.message.deltas) == deltas
+    await eventually(lambda: asking.holder.held_version == 3)
+
+
+async def test_candidate_that_contacts_a_node_during_a_round_ends_its_pause(fleet: Fleet) -> None:
+    """Guards against a node that waits although it knows of one at which it can join."""
+    node = await fleet.add("waiting")
+    contact = Join("joined", make_record("joined"), has_joined=True)
+    node.gossip._remember_declined(contact)
+    await asyncio.wait_for(node.gossip._wait_for_join_candidate(3600.0), 20)
+
+
+@pytest.mark.parametrize("is_seed", [True, False])
+async def test_seeds_without_power_do_not_hold_up_a_restarted_node(
+    fleet: Fleet, monkeypatch: pytest.MonkeyPatch, is_seed: bool
+) -> None:
+    """All nodes lose power: guards against nodes that wait for seeds that are gone for good."""
+    fleet.store.address_by_node = {
+        ("d1", f"gone{i}"): Address("127.0.0.1", 1 + i) for i in range(5)
+    }
+    node = await fleet.add("restarted")
+    if is_seed:
+        fleet.store.address_by_node[("d1", "restarted")] = node.address
+
+    async def no_answer(seed: Seed) -> CallOutcome:
+        await asyncio.Event().wait()
+        raise AssertionError("the event is never set")
+
+    monkeypatch.setattr(node.gossip, "_join_at", no_answer)
+    assert isinstance(await asyncio.wait_for(node.join(), 20), Founded)
--- a/tests/test_platform_store.py
+++ b/tests/test_platform_store.py
@@ -65,6 +65,9 @@
     listed = await client.list("seeds/")
     assert isinstance(listed, Listed)
     assert [entry.key for entry in listed.entries] == [f"seeds/{name}" for name in "abcde"]
+    assert server.calls_by_kind["stale"] == 0
+    assert await client.list("seeds/", allow_stale=True) == listed
+    assert server.calls_by_kind["stale"] == 3, "each page of a list that may be stale is cheap"
 
 
 async def test_watch_returns_the_newest_value(server: PlatformStoreServer, client: KvStore) -> None:
--- a/tests/test_readers.py
+++ b/tests/test_readers.py
@@ -367,3 +367,28 @@
         assert server.calls_by_kind["watch"] == calls
         node.is_reader = True
         await wait_until(lambda: server.calls_by_kind["watch"] > calls)
+
+
+@pytest.mark.parametrize(
+    ("watched", "newest"),
+    [
+        pytest.param([Unchanged(0)], True, id="nothing in the store"),
+        pytest.param([Found(b"1", 1)], True, id="a version"),
+        pytest.param([Found(b"1", 1), Found(b"2", 2)], True, id="two versions"),
+        pytest.param([StoreFailed("down", Effect.NONE)], False, id="no answer"),
+        pytest.param([Found(b"damaged", 1)], False, id="a damaged version"),
+        pytest.param([Found(b"damaged", 1), Unchanged(1)], False, id="still damaged"),
+        pytest.param([Found(b"damaged", 1), Found(b"1", 2)], True, id="repaired"),
+    ],
+)
+async def test_node_knows_that_it_holds_the_newest_version_after_a_read(watched, newest):
+    """Guards against a node that calls its version the newest although it cannot read a newer."""
+    now = 0.0
+    store = FixedStore(watched[0])
+    source = TableSource("doc", decode_whole_version)
+    node = Node(store, source=source, clock=lambda: now)
+    for found in watched:
+        now += 1.0
+        store.watched = found
+        await node.reader.read_once()
+    assert node.reader.newest_at == (now if newest else None)
--- a/tests/test_seeds.py
+++ b/tests/test_seeds.py
@@ -36,7 +36,7 @@
     async def delete(self, key, if_revision):
         self.value_by_key.pop(key, None)
 
-    async def list(self, prefix):
+    async def list(self, prefix, allow_stale=False):
         entries = tuple(StoreEntry(key, 1, value) for key, value in self.value_by_key.items())
         return Listed(entries) if self.available else OUTAGE
 
