--- a/jaypost/freshness.py
+++ b/jaypost/freshness.py
@@ -40,8 +40,8 @@
         age_s : float or None
             Time in seconds since the store is known to have held no newer one; None if unknown.
         sent_at : float
-            Time at which the request was sent. The age is counted from it, because the
-            clocks of the nodes are not compared and the reply may have been on its way for long.
+            Time at which the request was sent. The age is counted from it, because the reply may
+            have been on its way for long.
         """
         if age_s is not None:
             self.note(version, sent_at - age_s)
@@ -49,8 +49,3 @@
     def newest_at(self, held_version: int) -> float | None:
         """Return when the store held no version above `held_version`; None if that is unknown."""
         return self._newest_at if held_version >= self._version else None
-
-    def age_s(self, held_version: int, now: float) -> float | None:
-        """Return the seconds since `newest_at`."""
-        newest_at = self.newest_at(held_version)
-        return None if newest_at is None else now - newest_at
