Replace readers that the store does not answer before the next version is due

At 2.5 s the store turned a third of the hosts away without an answer, both readers of the near region among them. A version was accepted at 2.93 s. The others took over at 4.97 to 5.2 s, when the last contact of the readers was older than a watch (2.5 s), the timeout of the store (1 s) and 0.5 s together, and had the version in force at 7.1 s; 2.5 s is the bound.

Change: the limit is a watch and 0.5 s, and a watch waits for 1 s on the users' platform.

Store calls grow by about one a second for each region that reads.

--- a/jaypost/elections.py
+++ b/jaypost/elections.py
@@ -28,12 +28,28 @@
 CANDIDATES_PER_REGION = 4
 # Interval at which a candidate checks others.
 CHECK_INTERVAL_S = 0.5
+# Age beyond the longest watch at which a contact with the store is too old.
+CONTACT_SLACK_S = 0.5
 # Another region is nearer to the store if the round trip from there is at most this fraction of the
 # own one, and shorter by at least this time in seconds.
 NEARER_FRACTION = 0.5
 NEARER_MARGIN_S = 0.01
 
 
+def contact_limit_s(watch_wait_s: float) -> float:
+    """Return the age of a contact with the store from which a node no longer counts as a reader.
+
+    A reader that the store does not answer must be replaced before the next version has to be in
+    force, so the limit does not include the timeout of its calls.
+
+    Parameters
+    ----------
+    watch_wait_s : float
+        Longest wait of a watch in seconds.
+    """
+    return watch_wait_s + CONTACT_SLACK_S
+
+
 @dataclass(frozen=True, slots=True)
 class Candidates:
     """Nodes that may read the store, first choice first.
--- a/jaypost/gossip.py
+++ b/jaypost/gossip.py
@@ -31,6 +31,7 @@
     READERS_PER_REGION,
     ReaderElection,
     candidates,
+    contact_limit_s,
 )
 from jaypost.freshness import VersionFreshness
 from jaypost.joining import SEEDS_JOINING_WAIT_S, Founded, Joiner, JoinOutcome, JoinServer
@@ -86,8 +87,6 @@
 
 CALL_TIMEOUT_S = 1.0
 PROBE_TIMEOUT_S = 1.0
-# Age beyond the longest watch and its timeout at which a contact with the store is too old.
-CONTACT_SLACK_S = 0.5
 JOIN_TIMEOUT_S = 10.0
 TABLE_TIMEOUT_S = 5.0
 # Nodes that probe a peer on behalf of this node.
@@ -241,9 +240,7 @@
         self._was_reader = False
         self._fallback_reader = False
         self._fallback_delay_s = rng.uniform(0.0, READER_FALLBACK_JITTER_S)
-        self._election = ReaderElection(
-            own.node_id, settings.watch_wait_s + settings.store_timeout_s + CONTACT_SLACK_S
-        )
+        self._election = ReaderElection(own.node_id, contact_limit_s(settings.watch_wait_s))
         self._version_lag = VersionLag()
         self._freshness = VersionFreshness()
         self._table_expected_until = 0.0
--- a/tests/test_elections.py
+++ b/tests/test_elections.py
@@ -2,9 +2,17 @@
 
 from __future__ import annotations
 
+from pathlib import Path
+
 import pytest
 
-from jaypost.elections import Candidates, ReaderElection, candidates
+from jaypost.elections import (
+    CHECK_INTERVAL_S,
+    Candidates,
+    ReaderElection,
+    candidates,
+    contact_limit_s,
+)
 from jaypost.messages import StoreContact
 from jaypost.records import NodeState
 from jaypost.view import MembershipView
@@ -13,6 +21,8 @@
 NOW = 100.0
 CHOSEN = Candidates(("a", "b", "c", "d"), ("y", "z"))
 NEAR_S, FAR_S = 0.001, 0.06
+# Shortest time in which an accepted version has to be in force on the users' sites.
+SHORTEST_CONFIG_BOUND_S = 2.5
 
 
 def contacts(ages: dict[str, float | None], round_trip_s: float = FAR_S) -> dict:
@@ -115,3 +125,14 @@
     assert election.regional_place(CHOSEN) == 0
     age_s = election.nearer_contact_age_s(NOW + 1.0)
     assert (age_s is None) is reads
+
+
+def test_readers_that_the_store_does_not_answer_are_replaced_before_a_version_is_due() -> None:
+    """Both readers of a region lose the store: guards against a version that comes into force late.
+
+    Found by a hunt of canopy-wa (trouble-1 with seed 227609086683): 4.2 s after its acceptance.
+    """
+    lines = (Path(__file__).parent.parent / "deploy" / "node.env").read_text().splitlines()
+    (wait,) = [line for line in lines if line.startswith("JAYPOST_WATCH_WAIT_S=")]
+    detection_s = contact_limit_s(float(wait.partition("=")[2])) + 1.1 * CHECK_INTERVAL_S
+    assert detection_s < SHORTEST_CONFIG_BOUND_S
