Log where each node got a table version from, and when a reader read it

The logs could not tell a version that a reader read late from one that was replicated or pushed late: version_in_force has no source, and a reader logged nothing when it read.

version_read (reader, place among the readers of its region) and version_received (source node, deltas or table) give the two missing times; one line for each new version and node.

--- a/jaypost/gossip.py
+++ b/jaypost/gossip.py
@@ -671,9 +671,19 @@
         outcome = await self._call(peer, request, TABLE_TIMEOUT_S)
         return outcome.message.held_version if isinstance(outcome, Replied) else None
 
-    def _offer_deltas(self, deltas: tuple[Delta, ...]) -> None:
+    def _offer_deltas(self, deltas: tuple[Delta, ...], source: str) -> None:
         if deltas and deltas[-1].version > self._holder.held_version:
             self._holder.offer(OfferDeltas(deltas))
+            self._log_received_version(source, "deltas")
+
+    def _log_received_version(self, source: str, form: str) -> None:
+        log.info(
+            EventName.VERSION_RECEIVED,
+            source=source,
+            form=form,
+            held=self._holder.held_version,
+            in_force=self._holder.in_force_version,
+        )
 
     # Synchronisation and failure detection within the own failure domain
 
@@ -798,7 +808,7 @@
 
     async def _exchange_versions(self, peer: NodeRecord, reply: SyncReply) -> None:
         self._note_version(reply.held_version, peer.node_id)
-        self._offer_deltas(reply.deltas)
+        self._offer_deltas(reply.deltas, peer.node_id)
         held_version = self._holder.held_version
         if reply.held_version > held_version:
             await self._fetch_table(peer)
@@ -819,11 +829,12 @@
         finally:
             self._table_expected_until = 0.0
         if isinstance(outcome, Replied) and outcome.message.table is not None:
-            self._offer_table(outcome.message.table)
+            self._offer_table(outcome.message.table, peer.node_id)
 
-    def _offer_table(self, table: Table) -> None:
+    def _offer_table(self, table: Table, source: str) -> None:
         if table.version > self._holder.held_version:
             self._holder.offer(OfferTable(table))
+            self._log_received_version(source, "table")
 
     async def _reconcile_records(self, peer: NodeRecord) -> None:
         """Exchange records in which the views differ, within the limits of `comparison`."""
@@ -1113,7 +1124,7 @@
             self._merge_records(piece.records, piece.left_age_by_id, spread=False)
             await asyncio.sleep(0)  # unpacking all pieces at once would block the event loop
         if reply.table:
-            self._offer_table(unpack(reply.table, Table))
+            self._offer_table(unpack(reply.table, Table), reply.node_id)
         self._apply_accusations(reply.accusations)
         self._apply_beacons(reply.beacons)
 
@@ -1201,7 +1212,7 @@
         self._record_contact(request.sender)
         if request.deltas:
             self._note_version(request.deltas[-1].version, request.sender)
-        self._offer_deltas(request.deltas)
+        self._offer_deltas(request.deltas, request.sender)
         self._merge_records(request.records, request.left_age_by_id, spread=True)
         self._apply_accusations(request.accusations)
         self._apply_beacons(request.beacons)
@@ -1209,7 +1220,7 @@
 
     @_handle.register
     async def _(self, request: PushTable) -> PushReply:
-        self._offer_table(request.table)
+        self._offer_table(request.table, request.sender)
         return PushReply(self._holder.held_version)
 
     @_handle.register
--- a/jaypost/logs.py
+++ b/jaypost/logs.py
@@ -53,6 +53,8 @@
     STORE_UNAVAILABLE = "store_unavailable"
     STORE_AVAILABLE = "store_available"
     STORE_READING_CHANGED = "store_reading_changed"
+    VERSION_READ = "version_read"
+    VERSION_RECEIVED = "version_received"
     VERSION_IN_FORCE = "version_in_force"
     VERSION_REFUSED = "version_refused"
     VERSION_NOT_REPLICATED = "version_not_replicated"
--- a/jaypost/readers.py
+++ b/jaypost/readers.py
@@ -12,6 +12,7 @@
 
 from jaypost import freshness, invariants, layout, table
 from jaypost.config import ConfigHolder, OfferDeltas, OfferTable
+from jaypost.logs import EventName
 from jaypost.records import Head, Table
 from jaypost.settings import Settings
 from jaypost.store import Found, Store, StoreFailed
@@ -335,6 +336,13 @@
             return ReadFailed(failure.reason)
         self._last_revision = found.revision
         self.head_read = True
+        log.info(
+            EventName.VERSION_READ,
+            version=head.version,
+            revision=found.revision,
+            held=self._holder.held_version,
+            place=self._reader_place(),
+        )
         return HeadRead(head.version)
 
     def _skip_damaged(self, revision: int, reason: str) -> ReadFailed:
