--- a/tests/virtual_time.py
+++ b/tests/virtual_time.py
@@ -6,6 +6,10 @@
 import selectors
 from typing import Any
 
+# Time that each iteration of the loop takes, so that a timer shorter than the resolution of the
+# clock does not stop the time.
+ITERATION_S = 1e-6
+
 
 class _NoWaitSelector(selectors.DefaultSelector):
     """Selector that advances the clock of its loop in place of waiting."""
@@ -15,7 +19,7 @@
     def select(self, timeout: float | None = None) -> list[Any]:
         if timeout is None:
             raise RuntimeError("every task waits, and no timer is set")
-        self.loop.now += max(0.0, timeout)
+        self.loop.now += max(ITERATION_S, timeout)
         return []
 
 
