Let standbys read the store as soon as they take over

Callers were answered by an old version up to 2.6 s after a newer one was accepted, when the readers of the table were lost just before.

Cause: three waits in a row. Class: a bound that is checked for one step of a path whose steps add up.

Ruled out: late replication (the new reader has the version in force at once) and stale reads (every late host had an unbroken process and did not hold the version).

Each check now ends by itself, the task is told of a change of its role, and the time for which a node has stood by counts.

The three cases of test_lost_readers.py failed before.

--- a/jaypost/daemon.py
+++ b/jaypost/daemon.py
@@ -234,8 +234,10 @@
             self.gossip.replicate,
             self.gossip.store_reader_place,
             node_settings,
+            stands_by=self.gossip.stands_by,
             source=self._integration.make_table_source(node_settings),
         )
+        self.gossip.on_store_reading_changed = self.reader.notify_role_changed
         self.gossip.store_contact_age_s = self._store_contact_age_s
         self.gossip.store_round_trip_s = lambda: self.store.round_trip_s
         self.gossip.read_newest_at = lambda: self.reader.newest_at
--- a/jaypost/elections.py
+++ b/jaypost/elections.py
@@ -13,7 +13,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Mapping, Sequence
+from collections.abc import Sequence
 from dataclasses import dataclass
 
 import xxhash
@@ -110,9 +110,9 @@
     def __init__(self, own_id: str, contact_limit_s: float) -> None:
         self._own_id = own_id
         self._contact_limit_s = contact_limit_s
-        self._failed_ids: frozenset[str] = frozenset()
-        # Time of the last contact of a nearer region with the store; None without such a region.
-        self._nearer_contact_at: float | None = None
+        self._failed_ids: set[str] = set()
+        # Times of the contacts with the store of nodes that are in contact and nearer to it.
+        self._nearer_contact_at_by_id: dict[str, float] = {}
 
     def to_check(self, chosen: Candidates) -> tuple[str, ...]:
         """Return the candidates that this node has to check.
@@ -128,38 +128,38 @@
         others = chosen.other_regions if self.regional_place(chosen) is not None else ()
         return (*before, *others) if standing_by else others
 
-    def set_contacts(
+    def set_contact(
         self,
-        chosen: Candidates,
-        contact_by_id: Mapping[str, StoreContact | None],
+        node_id: str,
+        contact: StoreContact | None,
         own_round_trip_s: float | None,
         now: float,
     ) -> None:
-        """Set the results of a check.
+        """Set the result of the check of one node.
 
         Parameters
         ----------
-        chosen : Candidates
-            The candidates when the check began.
-        contact_by_id : Mapping of str to StoreContact or None
-            Contacts of the checked nodes; None for a node that does not answer or is no reader.
+        node_id : str
+            The node that was checked.
+        contact : StoreContact or None
+            Its contact; None if it does not answer or is no reader.
         own_round_trip_s : float or None
             Round trip in seconds from this node to the store; None if it is not known.
         now : float
             Monotonic time in seconds.
         """
-        working = {
-            node_id: contact
-            for node_id, contact in contact_by_id.items()
-            if contact is not None and contact.age_s <= self._contact_limit_s
-        }
-        self._failed_ids = frozenset(contact_by_id.keys() - working.keys())
-        nearer_ages_s = [
-            contact.age_s
-            for node_id, contact in working.items()
-            if node_id in chosen.other_regions and _is_nearer(contact, own_round_trip_s)
-        ]
-        self._nearer_contact_at = now - min(nearer_ages_s) if nearer_ages_s else None
+        self._failed_ids.discard(node_id)
+        self._nearer_contact_at_by_id.pop(node_id, None)
+        if contact is None or contact.age_s > self._contact_limit_s:
+            self._failed_ids.add(node_id)
+        elif _is_nearer(contact, own_round_trip_s):
+            self._nearer_contact_at_by_id[node_id] = now - contact.age_s
+
+    def _nearer_contact_at(self, chosen: Candidates) -> float | None:
+        """Return the last known contact of a nearer region; None if none is in contact."""
+        contact_at_by_id = self._nearer_contact_at_by_id
+        known = [contact_at_by_id[i] for i in chosen.other_regions if i in contact_at_by_id]
+        return max(known, default=None)
 
     def regional_place(self, chosen: Candidates) -> int | None:
         """Return the place of the own node among the readers of its region, 0 for the first.
@@ -174,11 +174,13 @@
 
     def place(self, chosen: Candidates) -> int | None:
         """Return `regional_place`, or None while a nearer region reads the store."""
-        return None if self._nearer_contact_at is not None else self.regional_place(chosen)
+        is_nearer_region_reading = self._nearer_contact_at(chosen) is not None
+        return None if is_nearer_region_reading else self.regional_place(chosen)
 
-    def nearer_contact_age_s(self, now: float) -> float | None:
+    def nearer_contact_age_s(self, chosen: Candidates, now: float) -> float | None:
         """Return the time since the last known contact of a nearer region with the store."""
-        return None if self._nearer_contact_at is None else now - self._nearer_contact_at
+        contact_at = self._nearer_contact_at(chosen)
+        return None if contact_at is None else now - contact_at
 
 
 def _is_nearer(contact: StoreContact, own_round_trip_s: float | None) -> bool:
--- a/jaypost/gossip.py
+++ b/jaypost/gossip.py
@@ -205,6 +205,8 @@
     read_newest_at : Callable[[], float or None]
         Returns the time, by the clock of `freshness`, of the last read of the store by this node
         after which the node held the newest version; None before the first.
+    on_store_reading_changed : Callable[[], None]
+        Called when a check changed whether this node reads the table from the store.
     """
 
     def __init__(
@@ -257,6 +259,7 @@
         self.store_contact_age_s: Callable[[], float | None] = lambda: None
         self.store_round_trip_s: Callable[[], float | None] = lambda: None
         self.read_newest_at: Callable[[], float | None] = lambda: None
+        self.on_store_reading_changed: Callable[[], None] = lambda: None
 
     # Life cycle
 
@@ -351,6 +354,10 @@
         place = self._election.regional_place(candidates(self._view))
         return self._fallback_reader or place is not None
 
+    def stands_by(self) -> bool:
+        """Tell whether this node takes over from nodes that read the store when they fail."""
+        return self.is_reader() and self._own_id in candidates(self._view).own_region
+
     def newest_at(self) -> float | None:
         """Return the last time at which the store is known to have held no newer version.
 
@@ -907,21 +914,27 @@
         while True:
             await asyncio.sleep(self._jittered(CHECK_INTERVAL_S))
             if self.is_reader():
-                await self._check_candidates()
-
-    async def _check_candidates(self) -> None:
-        """Check the nodes on which it depends whether this one reads the store."""
-        chosen = candidates(self._view)
-        ids = self._election.to_check(chosen)
-        peers = [record for node_id in ids if (record := self._view.get(node_id)) is not None]
-        contacts = await asyncio.gather(*(self._ask_store_contact(peer) for peer in peers))
-        contact_by_id = dict(zip((peer.node_id for peer in peers), contacts, strict=True))
+                self._check_candidates()
+
+    def _check_candidates(self) -> None:
+        """Check the nodes on which it depends whether this one reads the store.
+
+        Each check ends by itself, so that a node that does not answer does not hold up the others.
+        """
+        for node_id in self._election.to_check(candidates(self._view)):
+            peer = self._view.get(node_id)
+            if peer is not None:
+                self._spawn(self._check_candidate(peer))
+
+    async def _check_candidate(self, peer: NodeRecord) -> None:
+        contact = await self._ask_store_contact(peer)
         read_before = self.reads_store()
-        self._election.set_contacts(
-            chosen, contact_by_id, self.store_round_trip_s(), time.monotonic()
+        self._election.set_contact(
+            peer.node_id, contact, self.store_round_trip_s(), time.monotonic()
         )
         if self.reads_store() is not read_before:
             log.info(EventName.STORE_READING_CHANGED, node=self._own_id, reads=not read_before)
+            self.on_store_reading_changed()
 
     async def _ask_store_contact(self, peer: NodeRecord) -> StoreContact | None:
         outcome = await self._call(peer, Ping(self._own_id))
@@ -933,7 +946,7 @@
 
     def _reported_store_contact(self) -> StoreContact | None:
         """Return the contact that keeps other candidates from reading the store, if any."""
-        age_s = self._election.nearer_contact_age_s(time.monotonic())
+        age_s = self._election.nearer_contact_age_s(candidates(self._view), time.monotonic())
         if age_s is None:
             age_s = self.store_contact_age_s()
         if age_s is None or not self.reads_for_region():
--- a/jaypost/readers.py
+++ b/jaypost/readers.py
@@ -21,7 +21,8 @@
 
 # Interval at which a node that is not a reader checks whether it has become a reader.
 ROLE_CHECK_INTERVAL_S = 0.5
-# Time in seconds for which a node that holds a version must be a reader before it reads the store.
+# Time in seconds for which a node that holds a version must be a reader, or stand by for one, before
+# it reads the store.
 READER_SETTLE_S = 1.0
 # Watches of an unchanged head record end at least this many times per `beacon_timeout_s`, and each
 # of them renews `TableReader.last_contact`.
@@ -94,6 +95,8 @@
         does not read the store.
     settings : Settings
         Settings of the node.
+    stands_by : Callable[[], bool]
+        Tells whether this node takes over from readers that fail.
     source : TableSource
         Location and encoding of the newest version.
     rng : random.Random
@@ -125,6 +128,7 @@
         reader_place: Callable[[], int | None],
         settings: Settings,
         *,
+        stands_by: Callable[[], bool] = lambda: False,
         source: TableSource = HEAD_SOURCE,
         rng: random.Random | None = None,
         sleep: Callable[[float], Awaitable[None]] = asyncio.sleep,
@@ -136,6 +140,7 @@
         self._replicate = replicate
         self._reader_place = reader_place
         self._settings = settings
+        self._stands_by = stands_by
         self._source = source
         self._rng = rng or random.Random()
         self._sleep = sleep
@@ -146,7 +151,8 @@
         self._held_version_after_read = 0
         self._replicated_version = 0
         self._damaged_retry_at: float | None = None
-        self._reader_since: float | None = None
+        self._candidate_since: float | None = None
+        self._role_changed = asyncio.Event()
         self._delay_s = settings.store_backoff_min_s
         # The watch of an unchanged head record must end often enough to keep `last_contact` recent.
         self._watch_wait_s = min(
@@ -195,7 +201,7 @@
                     # replicate the version itself even though it is not a reader.
                     await self._pause(await self.replicate_and_activate())
                 else:
-                    await self._sleep(ROLE_CHECK_INTERVAL_S)
+                    await self._wait_for_role()
             except invariants.InvariantViolationError:
                 raise
             except Exception:
@@ -204,20 +210,37 @@
                 log.exception("reader_failed")
                 await self._back_off()
 
+    def notify_role_changed(self) -> None:
+        """Check at once whether this node has become a reader."""
+        self._role_changed.set()
+
+    async def _wait_for_role(self) -> None:
+        """Wait until the role has to be checked again."""
+        self._role_changed.clear()
+        pause = asyncio.ensure_future(self._sleep(ROLE_CHECK_INTERVAL_S))
+        changed = asyncio.ensure_future(self._role_changed.wait())
+        try:
+            await asyncio.wait({pause, changed}, return_when=asyncio.FIRST_COMPLETED)
+        finally:
+            pause.cancel()
+            changed.cancel()
+
     def _is_settled_reader(self) -> bool:
-        """Tell whether this node reads the store and has had that role for a while.
+        """Tell whether this node reads the store and has been a candidate for that for a while.
 
         While nodes start, each of them may be a reader for a moment. A node that holds no version
-        does not wait.
+        does not wait, and neither does one that has been standing by: the version that it reads
+        may be due soon.
         """
-        if self._reader_place() is None:
-            self._reader_since = None
+        is_reader = self._reader_place() is not None
+        if not is_reader and not self._stands_by():
+            self._candidate_since = None
             return False
         now = self._clock()
-        if self._reader_since is None:
-            self._reader_since = now
-        settled = now - self._reader_since >= READER_SETTLE_S
-        return settled or not self._holder.held_version
+        if self._candidate_since is None:
+            self._candidate_since = now
+        settled = now - self._candidate_since >= READER_SETTLE_S
+        return is_reader and (settled or not self._holder.held_version)
 
     async def _read_cycle(self) -> None:
         """Read once, bring a new version into force and pause before the next read."""
--- a/tests/test_elections.py
+++ b/tests/test_elections.py
@@ -97,7 +97,8 @@
     """Guards against a region without a reader, and against more readers than needed."""
     election = ReaderElection(own, contact_limit_s=4.0)
     assert set(ages) <= set(election.to_check(CHOSEN)) or own == "x"
-    election.set_contacts(CHOSEN, contacts(ages), FAR_S, NOW)
+    for node_id, contact in contacts(ages).items():
+        election.set_contact(node_id, contact, FAR_S, NOW)
     assert election.place(CHOSEN) == place
 
 
@@ -120,10 +121,11 @@
     """Large table and a narrow link between regions: guards against its copies filling the link."""
     election = ReaderElection("a", contact_limit_s=4.0)
     assert election.to_check(CHOSEN) == ("y", "z")
-    election.set_contacts(CHOSEN, contacts(other, other_s), own_s, NOW)
+    for node_id, contact in contacts(other, other_s).items():
+        election.set_contact(node_id, contact, own_s, NOW)
     assert election.place(CHOSEN) == (0 if reads else None)
     assert election.regional_place(CHOSEN) == 0
-    age_s = election.nearer_contact_age_s(NOW + 1.0)
+    age_s = election.nearer_contact_age_s(CHOSEN, NOW + 1.0)
     assert (age_s is None) is reads
 
 
--- a/tests/test_lost_readers.py
+++ b/tests/test_lost_readers.py
@@ -183,11 +183,13 @@
             self.gossip.replicate,
             self.gossip.store_reader_place,
             self.settings,
+            stands_by=self.gossip.stands_by,
             source=SOURCE,
             rng=rng,
             clock=time.monotonic,
             freshness_clock=freshness.clock,
         )
+        self.gossip.on_store_reading_changed = self.reader.notify_role_changed
         self.gossip.store_contact_age_s = self._store_contact_age_s
         self.gossip.store_round_trip_s = lambda: STORE_ROUND_TRIP_S_BY_REGION[self.region]
         self.gossip.read_newest_at = lambda: self.reader.newest_at
