Do not wait for each silent host before a version goes to the next

Cause: hosts without power count as reachable for about five seconds. A version was pushed to one node of a domain after the other, each with a timeout of a second, to three at most, and a reader replicated it to its domain, its region and the others in the same way. Class: the timeouts of alternatives in a row. The same cause was found in replicate_record, which asked only the own domain: a drain was then acknowledged through the store alone.

The next node is asked after 0.2 s without a reply, beside the first (hedging.py), up to eight in a domain; records are replicated to other domains like versions.

--- a/jaypost/gossip.py
+++ b/jaypost/gossip.py
@@ -18,8 +18,8 @@
 from collections.abc import Callable, Coroutine, Sequence
 from dataclasses import replace
 from enum import Enum, auto
-from functools import singledispatchmethod
-from typing import Any, Protocol
+from functools import partial, singledispatchmethod
+from typing import Any, Protocol, TypeVar
 
 import structlog
 
@@ -34,6 +34,7 @@
     contact_limit_s,
 )
 from jaypost.freshness import VersionFreshness
+from jaypost.hedging import start_in_turn
 from jaypost.joining import SEEDS_JOINING_WAIT_S, Founded, Joiner, JoinOutcome, JoinServer
 from jaypost.logs import EventName
 from jaypost.messages import (
@@ -85,6 +86,8 @@
 
 log = structlog.get_logger(__name__)
 
+T = TypeVar("T")
+
 CALL_TIMEOUT_S = 1.0
 PROBE_TIMEOUT_S = 1.0
 JOIN_TIMEOUT_S = 10.0
@@ -94,6 +97,11 @@
 # An attempt to reach another failure domain has failed when up to this many of its nodes, chosen at
 # random, have not answered.
 PEERS_TRIED_PER_DOMAIN = 3
+# A push of a version goes to another node as well when it is not answered for this long: hosts that
+# lost their power count as reachable for a while. Longer than the round trip between regions.
+SILENT_PEER_DELAY_S = 0.2
+# Nodes of another failure domain to which a version is pushed until one answers.
+VERSION_PEERS_PER_DOMAIN = 8
 # Nodes that `replicate` and `replicate_record` push to; one acknowledgement is enough.
 REPLICA_COUNT = 2
 # Longest random wait after the beacon timeout, before a node that still receives no beacons becomes
@@ -235,7 +243,7 @@
         self._status_collector = StatusCollector(view, rng, self._call, self._own_status)
         self._table_push_tokens = TokenBucket(TABLE_PUSHES_PER_S, TABLE_PUSH_BURST, now)
         self._push_wakeup = asyncio.Event()
-        self._tasks: set[asyncio.Task[object]] = set()
+        self._tasks: set[asyncio.Task[Any]] = set()
         self._joined = False
         self._closed = False
         self._beacon_counter = 0
@@ -246,7 +254,7 @@
         self._version_lag = VersionLag()
         self._freshness = VersionFreshness()
         self._table_expected_until = 0.0
-        self._catch_up_task: asyncio.Task[object] | None = None
+        self._catch_up_task: asyncio.Task[Any] | None = None
         self._pushed_version = holder.held_version
         self._notified_change_count = view.change_count
         self._notify_handle: asyncio.TimerHandle | None = None
@@ -299,13 +307,13 @@
         await self._channels.close()
         await self._server.close()
 
-    def _spawn(self, work: Coroutine[Any, Any, object]) -> asyncio.Task[object]:
+    def _spawn(self, work: Coroutine[Any, Any, T]) -> asyncio.Task[T]:
         task = asyncio.create_task(work)
         self._tasks.add(task)
         task.add_done_callback(self._on_task_done)
         return task
 
-    def _on_task_done(self, task: asyncio.Task[object]) -> None:
+    def _on_task_done(self, task: asyncio.Task[Any]) -> None:
         self._tasks.discard(task)
         if not task.cancelled() and task.exception() is not None:
             log.error("gossip_task_failed", node=self._own_id, exc_info=task.exception())
@@ -413,38 +421,49 @@
     async def replicate(self) -> bool:
         """Push the held version to two nodes, nodes of the own failure domain first.
 
+        When these do not answer, nodes of other domains and regions get it as well.
+
         Returns
         -------
         bool
             Whether one of them acknowledged the version or no other node is reachable. A node that
             is alone still has to follow the store.
         """
-        version = self._holder.held_version
         deltas = self._holder.deltas_since(self._pushed_version) or ()
         push = Push(self._own_id, deltas=deltas)
-        outcomes = []
-        for scope in Scope:
-            peers = self._view.sample(self._rng, scope, REPLICA_COUNT)
-            outcomes.append(await self._push_until_held(peers, push, version))
-            if outcomes[-1] is _Replication.ACKNOWLEDGED:
-                return True
+        outcomes = await self._push_to_scopes(push, self._holder.held_version)
+        if _Replication.ACKNOWLEDGED in outcomes:
+            return True
         return _Replication.REFUSED not in outcomes and not self._has_reachable_peer()
 
+    async def _push_to_scopes(self, push: Push, version: int) -> list[_Replication]:
+        """Push to two nodes of each scope, nearest first, until one holds at least `version`."""
+
+        async def push_to_scope(scope: Scope) -> _Replication:
+            peers = self._view.sample(self._rng, scope, REPLICA_COUNT)
+            return await self._push_until_held(peers, push, version)
+
+        return await start_in_turn(
+            [partial(push_to_scope, scope) for scope in Scope],
+            lambda outcome: outcome is _Replication.ACKNOWLEDGED,
+            SILENT_PEER_DELAY_S,
+            self._spawn,
+        )
+
     def _has_reachable_peer(self) -> bool:
         others = (record.node_id for record in self._view.records())
         return any(i != self._own_id and self._view.is_reachable(i) for i in others)
 
     async def replicate_record(self) -> bool:
-        """Push the own record to two nodes.
+        """Push the own record to two nodes, nodes of the own failure domain first.
 
         Returns
         -------
         bool
             Whether one of them acknowledged the record; False when no other node is known.
         """
-        peers = self._sample_nearest(REPLICA_COUNT)
         push = Push(self._own_id, records=(self._view.own,))
-        return await self._push_until_held(peers, push, 0) is _Replication.ACKNOWLEDGED
+        return _Replication.ACKNOWLEDGED in await self._push_to_scopes(push, 0)
 
     async def _push_until_held(
         self, peers: tuple[NodeRecord, ...], push: Push, version: int
@@ -466,13 +485,6 @@
                 outcome = _Replication.REFUSED
         return outcome
 
-    def _sample_nearest(self, count: int) -> tuple[NodeRecord, ...]:
-        for scope in Scope:
-            peers = self._view.sample(self._rng, scope, count)
-            if peers:
-                return peers
-        return ()
-
     # Calls
 
     def _link_of(self, node_id: str) -> Link:
@@ -595,9 +607,13 @@
 
     async def _push_version_to_domain(self, failure_domain: str, push: Push) -> None:
         """Push to one node of a failure domain; try others when it does not answer."""
-        for peer in self._view.sample_domain(self._rng, failure_domain, PEERS_TRIED_PER_DOMAIN):
-            if await self._push_to(peer, push) is not None:
-                return
+        peers = self._view.sample_domain(self._rng, failure_domain, VERSION_PEERS_PER_DOMAIN)
+        await start_in_turn(
+            [partial(self._push_to, peer, push) for peer in peers],
+            lambda held_version: held_version is not None,
+            SILENT_PEER_DELAY_S,
+            self._spawn,
+        )
 
     def _push_message(self, batch: Batch) -> Push:
         deltas: tuple[Delta, ...] = ()
--- a/jaypost/readers.py
+++ b/jaypost/readers.py
@@ -21,8 +21,8 @@
 
 # Interval at which a node that is not a reader checks whether it has become a reader.
 ROLE_CHECK_INTERVAL_S = 0.5
-# Time in seconds for which a node that holds a version must be a reader, or stand by for one, before
-# it reads the store.
+# Time in seconds for which a node that holds a version must be a reader, or stand by, before it
+# reads the store.
 READER_SETTLE_S = 1.0
 # Watches of an unchanged head record end at least this many times per `beacon_timeout_s`, and each
 # of them renews `TableReader.last_contact`.
--- a/tests/test_gossip.py
+++ b/tests/test_gossip.py
@@ -266,6 +266,17 @@
     assert any(node.holder.held_version == 1 for node in d2_nodes)
 
 
+async def test_record_is_replicated_in_another_domain_when_the_own_one_crashed(
+    fleet: Fleet,
+) -> None:
+    """Guards against a drain that is not acknowledged because the neighbours lost their power."""
+    await fleet.add_joined(6, TWO_DOMAINS)
+    await eventually(lambda: converged(fleet))
+    last, *crashed = split_by_domain(fleet)[0]
+    fleet.isolated_addresses.update(node.address for node in crashed)
+    assert await last.gossip.replicate_record()
+
+
 async def test_isolated_node_follows_the_store_once_it_knows_that_it_is_alone(
     fleet: Fleet,
 ) -> None:
