Show the rate that a target names beside the requests started at it

The logs and metrics could not tell whether the rate was not read, kept by each host for itself, or forgotten, because neither the rate nor the number of requests started at the target was shown.

The egress of the target's host, the only sender of its requests, reads the rate. It logs each change with the requests started meanwhile, and two gauges show the rate against the starts. The header is still forwarded to callers as it was. No decision depends on it yet.

--- a/jaypost/calls.py
+++ b/jaypost/calls.py
@@ -37,6 +37,8 @@
 SHED = b"x-jaypost-shed"
 # Current duration of work at a target, in percent of the usual one.
 WORK_DURATION = b"x-jaypost-work-duration"
+# Requests per second that a target takes from all nodes together, a decimal number.
+RATE = b"x-jaypost-rate"
 # Milliseconds within which the caller wants the response, from `Row.target_latency_ms`.
 ANSWER_BY_MS = b"x-jaypost-answer-by-ms"
 # Present on an error response when the target may have received the request.
@@ -157,6 +159,15 @@
     return Load(int(parts[0]), int(parts[1]), int(parts[2]))
 
 
+def parse_rate(value: bytes) -> float | None:
+    """Return the requests per second from the header `RATE`, or None when it is malformed."""
+    try:
+        rate = float(value)
+    except ValueError:
+        return None
+    return rate if 0.0 <= rate < float("inf") else None
+
+
 def parse_error_kind(value: bytes | None) -> ErrorKind | None:
     """Return the error kind named in a header; an unknown name counts as `INTERNAL`."""
     if value is None:
--- a/jaypost/codecs.py
+++ b/jaypost/codecs.py
@@ -46,11 +46,14 @@
     parse_by_wire : Mapping[bytes, callable]
         Functions that convert the value of a header on the wire to the value that jaypost reads,
         by name on the wire.
+    passed_on : frozenset of bytes
+        Names on the wire of control headers that are forwarded as well.
     """
 
     name_by_wire: Mapping[bytes, bytes]
     dropped: frozenset[bytes] = frozenset()
     parse_by_wire: Mapping[bytes, Callable[[bytes], bytes]] = field(default_factory=dict)
+    passed_on: frozenset[bytes] = frozenset()
 
     def encode(self, control: Mapping[bytes, bytes]) -> dict[bytes, bytes]:
         """Return the control headers that have a name on the wire, by that name."""
@@ -203,6 +206,8 @@
         if own is not None:
             parse = dialect.parse_by_wire.get(name)
             yield own, parse(value) if parse is not None else value
+            if name in dialect.passed_on:
+                yield name, value
         elif name not in dialect.dropped and not name.startswith(_CONTROL_PREFIX):
             yield name, value
 
--- a/jaypost/daemon.py
+++ b/jaypost/daemon.py
@@ -446,6 +446,12 @@
             (target.service, self.egress.admission.load(target.target_id))
             for target in self.announcements.targets
         )
+        rates = self.egress.rates
+        service_by_id = {t.target_id: t.service for t in self.announcements.targets}
+        metrics.rates_changed(
+            _sum_by_service(rates.rate_by_id, service_by_id),
+            _sum_by_service(rates.starts_by_id, service_by_id),
+        )
         now = time.monotonic()
         services = self.holder.snapshot.targets_by_service
         metrics.ejections_changed(
@@ -637,6 +643,18 @@
     return loaded
 
 
+def _sum_by_service(
+    value_by_id: Mapping[str, float], service_by_id: Mapping[str, str]
+) -> dict[str, float]:
+    """Return the sums over the targets of each service."""
+    sums: dict[str, float] = {}
+    for target_id, value in value_by_id.items():
+        service = service_by_id.get(target_id)
+        if service is not None:
+            sums[service] = sums.get(service, 0) + value
+    return sums
+
+
 def main(
     integration: Integration = DEFAULT_INTEGRATION, command_line: Sequence[str] | None = None
 ) -> None:
--- a/jaypost/egress.py
+++ b/jaypost/egress.py
@@ -41,6 +41,7 @@
     LOAD,
     MAY_QUEUE,
     PRIORITY,
+    RATE,
     REQUEST_ID,
     RETRY,
     SHED,
@@ -50,6 +51,7 @@
     CallEnded,
     ErrorResponse,
     error_response,
+    parse_rate,
 )
 from jaypost.codecs import HeaderDialect, RequestHead, ResponseHead
 from jaypost.connections import (
@@ -67,6 +69,7 @@
 from jaypost.pools import CallFailed, ConnectionPool, PooledExchange, Receiver
 from jaypost.records import Address, Load, PlacedTarget, Row, Snapshot, Target, TargetState
 from jaypost.settings import Settings
+from jaypost.target_rates import TargetRates
 from jaypost.transfers import Transfers
 from jaypost.uplink import Uplink
 
@@ -264,6 +267,7 @@
         if not check(may_start, "P7_work_after_drain", target=self.target_id):
             self._refuse(ErrorKind.DRAINING)
             return
+        self._egress.rates.started(self.target_id)
         head = self._head
         received = head.control
         control = {name: received[name] for name in _FORWARDED_CONTROL if name in received}
@@ -387,6 +391,7 @@
             self._refused_kind = ErrorKind.TARGET_SHED
         elif head.status == HTTPStatus.MISDIRECTED_REQUEST:
             self._refused_kind = ErrorKind.WRONG_TARGET
+        self._note_rate(head)
         if self._refused_kind is not None:
             return
         control = {
@@ -408,6 +413,13 @@
             ResponseHead(head.status, control, head.headers, head.content_length)
         )
 
+    def _note_rate(self, head: ResponseHead) -> None:
+        """Note the rate that the target names; only a request that was run tells that it ended."""
+        named = head.control.get(RATE)
+        rate = parse_rate(named) if named is not None else None
+        if rate is not None or (named is None and self._refused_kind is None):
+            self._egress.note_rate(self.target_id, rate)
+
     @staticmethod
     def _belongs_to_call(head: ResponseHead, request_id: bytes) -> bool:
         """Tell whether a response may be taken for the one to the request with `request_id`.
@@ -650,6 +662,7 @@
         self.clock = time.monotonic  # the clock of uvloop has a resolution of only 1 ms
         self.long_work_classifier = LongWorkClassifier()
         self.breakers = Breakers()
+        self.rates = TargetRates()
         max_connections = connection_limits(settings.max_files)
         self.pool = ConnectionPool(
             settings, dialect=dialect, max_connections=max_connections.to_targets
@@ -699,6 +712,7 @@
         effective = tuple(self._effective_target(target, now) for target in self._announced_targets)
         self.target_by_id = {target.target_id: target for target in effective}
         self.breakers.retain(self.target_by_id)
+        self.rates.retain(self.target_by_id)
         self.own_slots_by_service = {}
         for target in effective:
             if target.state is TargetState.READY:
@@ -726,6 +740,10 @@
         if self.breakers.record_alive(target_id):
             log.info(EventName.TARGET_UP, target=target_id)
 
+    def note_rate(self, target_id: str, rate: float | None) -> None:
+        """Note the rate that a target names in a response, None if it names none."""
+        self.rates.note(target_id, rate)
+
     def load(self, target_id: str) -> Load:
         """Return the load to report for a target; a target that is down has no free slots."""
         load = self.admission.load(target_id)
--- a/jaypost/logs.py
+++ b/jaypost/logs.py
@@ -73,6 +73,7 @@
     TARGET_REPLACED = "target_replaced"
     TARGET_DOWN = "target_down"
     TARGET_UP = "target_up"
+    TARGET_RATE_CHANGED = "target_rate_changed"
     TARGET_EJECTED = "target_ejected"
     TARGET_RECOVERED = "target_recovered"
     CONNECTIONS_CLOSED = "connections_closed"
--- a/jaypost/metrics.py
+++ b/jaypost/metrics.py
@@ -155,6 +155,12 @@
         self._queued_requests = self._gauge("queued_requests", "Requests that wait for a slot")
         self._busy_slots = self._gauge("busy_slots", "Slots in use")
         self._slots = self._gauge("slots", "Slots of the targets of the host")
+        self._target_rate = self._gauge(
+            "target_rate", "Requests per second that the targets of the host take, if they name it"
+        )
+        self._target_rate_starts = self._gauge(
+            "target_rate_starts", "Requests started at targets of the host that name a rate"
+        )
         self._ejected_targets = self._gauge("ejected_targets", "Targets that this node has ejected")
         self._convergence_lag = self._histogram(
             "convergence_lag_seconds",
@@ -215,6 +221,13 @@
         self._set_all(self._slots, "service", slots)
         self._set_all(self._queued_requests, "service", queued)
 
+    def rates_changed(
+        self, rate_by_service: Mapping[str, float], starts_by_service: Mapping[str, float]
+    ) -> None:
+        """Set the rates that local targets name, and the requests that were started at them."""
+        self._set_all(self._target_rate, "service", rate_by_service)
+        self._set_all(self._target_rate_starts, "service", starts_by_service)
+
     def ejections_changed(self, ejected_by_service: Mapping[str, int]) -> None:
         """Set the number of targets of each service that this node has ejected."""
         self._set_all(self._ejected_targets, "service", ejected_by_service)
@@ -287,9 +300,9 @@
             await asyncio.sleep(0)
         return ("\n".join(blocks) + "\n").encode()
 
-    def _set_all(self, gauge: Gauge, label: str, count_by_value: Mapping[str, int]) -> None:
+    def _set_all(self, gauge: Gauge, label: str, count_by_value: Mapping[str, float]) -> None:
         """Set a gauge for each value of a label; known values that are not given become 0."""
-        total_by_label = {labels[label]: 0 for labels, _ in gauge.get_all()}
+        total_by_label: dict[str, float] = {labels[label]: 0 for labels, _ in gauge.get_all()}
         for value, count in count_by_value.items():
             bounded_value = self._bounded_label(label, value)
             total_by_label[bounded_value] = total_by_label.get(bounded_value, 0) + count
--- a/tests/test_faulty_targets.py
+++ b/tests/test_faulty_targets.py
@@ -13,6 +13,7 @@
 
 import pytest
 
+from jaypost.admission import Admission
 from jaypost.errors import ErrorKind, RunState
 from jaypost.records import Row
 from tests.harness import RawClient, Reply, UvloopPolicy, running_mesh, wait_until
@@ -63,12 +64,16 @@
 
 
 @asynccontextmanager
-async def egress_of(codec: str, *answers: Answer) -> AsyncIterator[tuple[FaultyTarget, RawClient]]:
+async def egress_of(
+    codec: str, *answers: Answer, admission: Admission | None = None
+) -> AsyncIterator[tuple[FaultyTarget, RawClient]]:
     """Run a node with a faulty target; the client sends to the egress as another node does."""
     target = FaultyTarget(list(answers))
     server = await asyncio.start_server(target.serve, "127.0.0.1", 0)
     target.port = server.sockets[0].getsockname()[1]
     async with running_mesh(codec, (0,), row=Row("orders")) as mesh:
+        if admission is not None:
+            mesh.nodes[0].egress.admission = admission
         mesh.nodes[0].targets.append(target)
         mesh.publish()
         client = await RawClient.open(mesh.nodes[0].peer_address)
