Start no more requests at a target than the rate it names

Class: a shared limit that no one keeps. The others were ruled out by the design: the node of a target is the only sender of its requests, so one bucket there is the sum of all nodes, whatever the ingress nodes know, and a cut or a new ingress changes nothing. After a restart the node learns the rate from the first response; until then at most the slots are in use, and the bucket starts empty.

The admission has a token bucket for each target that names a rate: half a second of it may start at once, the rest at the rate. A request that may queue waits for a token if it ends in time, others are refused as not run and go to another target. A target without a token reports no free slot, and offers as many slots as its rate keeps busy, so that ingress nodes compare it with others. A target that takes nothing gets a request in 1.5 s, whose response tells when it takes more. The limit ends with the first response to an executed request that names none.

test_target_rates.py: the two cases of the failing test, and new ones for windows, changes of the rate, a lapse, the reported load and malformed values.

--- a/jaypost/admission.py
+++ b/jaypost/admission.py
@@ -47,6 +47,11 @@
 STILL_SLOW_FACTOR = 1.5
 # Fraction of its slots that a slow target offers to requests that may not queue.
 SLOW_SLOTS_FRACTION = 0.2
+# The requests that a target takes in this time at the rate that it names may start at once.
+RATE_BURST_S = 0.5
+# A target that takes nothing gets a request per second and a half, whose response tells when it
+# takes more.
+MIN_RATE = 1 / 1.5
 # A duration that a target reported is ignored when it is older than this.
 REPORTED_DURATION_MAX_AGE_S = 1.0
 # Requests whose paths have the same first segment become long work when their mean duration exceeds
@@ -187,11 +192,31 @@
     now: float
 
 
+@dataclass(frozen=True, slots=True)
+class ReportRate:
+    """Passes on how many requests a second a target takes, as the target named it.
+
+    Parameters
+    ----------
+    target_id : str
+        Target that named the rate.
+    rate : float or None
+        Requests per second; None when the target no longer names a rate.
+    now : float
+        Monotonic time in seconds.
+    """
+
+    target_id: str
+    rate: float | None
+    now: float
+
+
 @dataclass(frozen=True, slots=True)
 class Tick:
-    """Refuses the queued requests that can no longer be answered in time.
+    """Starts the queued requests that have a slot, and refuses those that would end too late.
 
-    The owner of the `Admission` sends it at intervals while requests are queued.
+    The owner of the `Admission` sends it at intervals while requests are queued. A target that
+    names a rate has room again without the end of a request.
     """
 
     now: float
@@ -223,7 +248,7 @@
 
 
 Decision = Admitted | Queued | Refused
-Message = Admit | Release | Cancel | SetTargets | ReportDuration | Tick
+Message = Admit | Release | Cancel | SetTargets | ReportDuration | ReportRate | Tick
 
 
 @dataclass(slots=True)
@@ -340,6 +365,38 @@
         self._updated_at = max(self._updated_at, now)
 
 
+@dataclass(slots=True)
+class _NamedRate:
+    """Token bucket with the rate that a target names; each token admits one request.
+
+    It starts without a token: the requests in flight were started before the target named the rate.
+    """
+
+    rate: float
+    refilled_at: float
+    tokens: float = 0.0
+
+    def available(self, now: float) -> float:
+        """Return the tokens at a time."""
+        refill = self.rate * max(0.0, now - self.refilled_at)
+        return min(max(1.0, self.rate * RATE_BURST_S), self.tokens + refill)
+
+    def take(self, now: float) -> None:
+        """Take a token."""
+        self.tokens = self.available(now) - 1.0
+        self.refilled_at = max(self.refilled_at, now)
+
+    def set_rate(self, rate: float, now: float) -> None:
+        """Change the rate and keep the tokens."""
+        self.tokens = self.available(now)
+        self.refilled_at = max(self.refilled_at, now)
+        self.rate = rate
+
+    def wait_s(self, position: int, now: float) -> float:
+        """Return the time in seconds until the request at a position of the queue has a token."""
+        return max(0.0, position - self.available(now)) / self.rate
+
+
 class _TargetQueue:
     """Slots and queue of one target.
 
@@ -361,14 +418,20 @@
         self.slow = False
         self._reported_factor = 1.0
         self._reported_at = -math.inf
+        self._named_rate: _NamedRate | None = None
         self._virtual_time = 0.0
         self._queue_by_tenant: dict[str, _TenantQueue] = {}
         self._last_arrival_by_priority: dict[int, float] = {}
 
     @property
     def load(self) -> Load:
-        """Load that is reported to ingress nodes."""
-        return Load(self.busy, self.offered_slots, self.queued)
+        """Load that is reported to ingress nodes.
+
+        A target that takes no further request at its rate now has no free slot.
+        """
+        offered = self.offered_slots
+        busy = self.busy if self._has_token() else max(self.busy, offered)
+        return Load(busy, offered, self.queued)
 
     @property
     def offered_slots(self) -> int:
@@ -380,10 +443,31 @@
         requests in a row look like a slow target.
         """
         if self.now - self._reported_at <= REPORTED_DURATION_MAX_AGE_S:
-            return max(1, round(self.target.slots / max(1.0, self._reported_factor)))
-        if not self.slow:
-            return self.target.slots
-        return max(1, int(self.target.slots * SLOW_SLOTS_FRACTION))
+            offered = max(1, round(self.target.slots / max(1.0, self._reported_factor)))
+        elif not self.slow:
+            offered = self.target.slots
+        else:
+            offered = max(1, int(self.target.slots * SLOW_SLOTS_FRACTION))
+        if self._named_rate is None:
+            return offered
+        # The slots that the named rate keeps busy, so that ingress nodes compare the target's load
+        # with that of others.
+        used = self._named_rate.rate * self.durations_by_class[CallClass.SHORT].usual_s
+        return min(offered, max(1, math.ceil(used)))
+
+    def _has_token(self) -> bool:
+        return self._named_rate is None or self._named_rate.available(self.now) >= 1.0
+
+    def set_named_rate(self, rate: float | None) -> None:
+        """Limit the requests that start to the rate that the target named, None for no limit."""
+        if rate is None:
+            self._named_rate = None
+            return
+        rate = max(rate, MIN_RATE)
+        if self._named_rate is None:
+            self._named_rate = _NamedRate(rate, self.now)
+        else:
+            self._named_rate.set_rate(rate, self.now)
 
     def set_reported_duration(self, message: ReportDuration) -> None:
         """Store the duration that the target reported."""
@@ -402,13 +486,15 @@
 
     def has_slot(self, call_class: CallClass) -> bool:
         """Tell whether a request of the class may start now."""
-        if self.busy >= self.target.slots:
+        if self.busy >= self.target.slots or not self._has_token():
             return False
         return call_class is CallClass.SHORT or self.long_busy < self.long_slots()
 
     def take_slot(self, call_class: CallClass) -> None:
         """Mark a slot as busy."""
         self.busy += 1
+        if self._named_rate is not None:
+            self._named_rate.take(self.now)
         if call_class is CallClass.SHORT:
             self.service_time.started(self.now)
         check(self.busy <= self.target.slots, "admission_slots", target=self.target.target_id)
@@ -505,7 +591,11 @@
             share = tenant_queue.share
             total_shares = sum(queue.share for queue in self._queue_by_tenant.values())
         fair_position = (tenant_ahead + 1) * total_shares / share
-        return min(fair_position, total_ahead + 1) * interval_s
+        position = min(fair_position, total_ahead + 1)
+        wait_s = position * interval_s if self.busy >= self.target.slots else 0.0
+        if self._named_rate is None:
+            return position * interval_s
+        return max(wait_s, self._named_rate.wait_s(math.ceil(position), self.now))
 
     def push(self, item: _QueuedRequest) -> None:
         """Add a request to the queue of its tenant."""
@@ -738,6 +828,15 @@
             queue.set_reported_duration(message)
         return ()
 
+    @handle.register
+    def _reported_rate(self, message: ReportRate) -> tuple[Decision, ...]:
+        queue = self._queue_by_target.get(message.target_id)
+        if queue is None:
+            return ()
+        queue.now = max(queue.now, message.now)
+        queue.set_named_rate(message.rate)
+        return self._start_queued(queue, message.now)
+
     @handle.register
     def _tick(self, message: Tick) -> tuple[Decision, ...]:
         decisions: list[Decision] = []
--- a/jaypost/egress.py
+++ b/jaypost/egress.py
@@ -24,6 +24,7 @@
     Refused,
     Release,
     ReportDuration,
+    ReportRate,
     SetTargets,
     Tick,
 )
@@ -742,7 +743,8 @@
 
     def note_rate(self, target_id: str, rate: float | None) -> None:
         """Note the rate that a target names in a response, None if it names none."""
-        self.rates.note(target_id, rate)
+        if self.rates.note(target_id, rate):
+            self.handle(ReportRate(target_id, rate, self.clock()))
 
     def load(self, target_id: str) -> Load:
         """Return the load to report for a target; a target that is down has no free slots."""
--- a/tests/test_target_rates.py
+++ b/tests/test_target_rates.py
@@ -7,8 +7,20 @@
 
 import pytest
 
-from jaypost.admission import Admission
+from jaypost.admission import (
+    Admission,
+    Admit,
+    Admitted,
+    CallClass,
+    Refused,
+    Release,
+    ReportRate,
+    SetTargets,
+    Tick,
+)
+from jaypost.calls import parse_rate
 from jaypost.errors import RunState
+from jaypost.records import Row, Target, TargetState
 from tests.harness import Reply, UvloopPolicy
 from tests.test_faulty_targets import egress_of, response, send
 
@@ -42,3 +54,121 @@
         refused = [reply for reply in replies if reply.status != 200]
         assert len(refused) == REQUESTS - len(target.request_ids)
         assert all(reply.run == RunState.NOT_RUN for reply in refused)
+
+
+class Demand:
+    """Requests that arrive at one target evenly, in virtual time, and are admitted or refused."""
+
+    def __init__(self, may_queue: bool, slots: int = 12, run_s: float = 0.1) -> None:
+        self.may_queue, self.run_s, self.now = may_queue, run_s, 0.0
+        self.admission = Admission()
+        target = Target("t", "orders", 9000, slots, TargetState.READY)
+        self.admission.handle(SetTargets((target,), 0.0))
+        self.row = Row("orders")
+        self.started_at: list[float] = []
+        self.refused = 0
+        self.arrivals = 0
+        self.ends_by_ticket: dict[str, float] = {}
+
+    def name_rate(self, rate: float | None) -> None:
+        self.decide(ReportRate("t", rate, self.now))
+
+    def run(self, per_s: float, for_s: float) -> None:
+        """Let requests arrive for a time, with a tick every 20 ms."""
+        until, next_arrival = self.now + for_s, self.now
+        while self.now < until:
+            self.now += 0.001
+            for ticket, ends_at in list(self.ends_by_ticket.items()):
+                if ends_at <= self.now:
+                    del self.ends_by_ticket[ticket]
+                    self.decide(Release(ticket, self.run_s, self.now))
+            if round(self.now * 1000) % 20 == 0:
+                self.decide(Tick(self.now))
+            if self.now >= next_arrival:
+                next_arrival += 1.0 / per_s
+                self.arrivals += 1
+                ticket, deadline = str(self.arrivals), self.now + 1.0
+                self.decide(
+                    Admit(
+                        ticket,
+                        "t",
+                        self.row,
+                        "a",
+                        CallClass.SHORT,
+                        deadline,
+                        self.may_queue,
+                        self.now,
+                    )
+                )
+
+    def decide(self, message: object) -> None:
+        for decision in self.admission.handle(message):
+            if isinstance(decision, Admitted):
+                self.started_at.append(self.now)
+                self.ends_by_ticket[decision.ticket] = self.now + self.run_s
+            elif isinstance(decision, Refused):
+                self.refused += 1
+
+    def most_in_window(self, after: float) -> int:
+        times = [at for at in self.started_at if at > after]
+        return max(sum(at <= other < at + WINDOW_S for other in times) for at in times)
+
+
+@pytest.mark.parametrize("may_queue", [False, True])
+@pytest.mark.parametrize("rate", [0.0, 0.4, 5.7, 24.0, 50.2])
+def test_named_rate_bounds_each_window_and_is_used(rate: float, may_queue: bool) -> None:
+    """Guards against a target in need that is overrun, and against one that is left idle."""
+    demand = Demand(may_queue)
+    demand.run(per_s=100.0, for_s=2.0)
+    named_at = demand.now
+    demand.name_rate(rate)
+    demand.run(per_s=100.0, for_s=10.0)
+    most = demand.most_in_window(named_at)
+    assert most <= RATE_FACTOR * rate * WINDOW_S + EXTRA_REQUESTS
+    assert most >= 0.9 * rate * WINDOW_S
+    demand.name_rate(None)
+    lapsed_at = demand.now
+    demand.run(per_s=100.0, for_s=4.0)
+    assert demand.most_in_window(lapsed_at) > 0.9 * 100.0 * WINDOW_S
+
+
+@pytest.mark.parametrize("rates", [(20.0, 10.0), (10.0, 20.0), (20.0, None, 20.0)])
+def test_changes_of_the_rate_give_no_additional_requests(rates: tuple[float | None, ...]) -> None:
+    """Guards against a target that names its rate anew in each response and is overrun by that."""
+    demand = Demand(may_queue=False)
+    for _ in range(200):
+        for rate in rates:
+            if rate is not None:
+                demand.name_rate(rate)
+            demand.run(per_s=100.0, for_s=0.02)
+    highest = max(rate for rate in rates if rate is not None)
+    assert demand.most_in_window(0.0) <= RATE_FACTOR * highest * WINDOW_S + EXTRA_REQUESTS
+
+
+def test_target_at_its_rate_reports_no_free_slot() -> None:
+    """Guards against ingress nodes that prefer the target because it seems to be idle."""
+    demand = Demand(may_queue=False)
+    demand.run(per_s=50.0, for_s=1.0)
+    demand.name_rate(10.0)
+    demand.run(per_s=50.0, for_s=2.0)
+    load = demand.admission.load("t")
+    assert load.busy >= load.slots
+    assert load.slots < 12
+
+
+@pytest.mark.parametrize(
+    ("value", "rate"),
+    [
+        (b"26.5", 26.5),
+        (b"0", 0.0),
+        (b"", None),
+        (b"-1", None),
+        (b"nan", None),
+        (b"inf", None),
+        (b"1e999", None),
+        (b"many", None),
+    ],
+)
+def test_malformed_rates_are_ignored(value: bytes, rate: float | None) -> None:
+    """Guards against a faulty target that stops its own requests, or lifts its limit."""
+    assert parse_rate(value) == rate
