Send nothing more to a target that says that it leaves

A target says in its responses that it leaves (DRAIN); nodes that had passed such a response on sent it further requests, unless its announcements said the same.

Cause: the word in the response was not read. Class: news that only one of its ways into the fleet is listened to. A target that withdraws first, or whose announcement arrives late, says so nowhere else.

The node of the target publishes it as draining, keeps the departure like an announced one, and refuses its calls after the drain delay; so all ingress nodes are covered, also those that have heard nothing. Each ingress that passed the word on keeps it for that start of the target: it uses others at once, and this one only for half the drain bound and while no other works. That also holds across a restart of the target's node or a cut. The header is forwarded as before.

test_leaving_targets.py: the four cases of the failing test, and new ones for the choice of the ingress, a later start with the same identifier, and the announcement that follows.

--- a/jaypost/announcements.py
+++ b/jaypost/announcements.py
@@ -107,6 +107,14 @@
     now: float
 
 
+@dataclass(frozen=True, slots=True)
+class ReportLeaving:
+    """A target said in a response that it leaves."""
+
+    target_id: str
+    now: float
+
+
 @dataclass(frozen=True, slots=True)
 class AdoptDepartures:
     """Departures that this node acknowledged before it was restarted."""
@@ -153,7 +161,7 @@
     reason: str
 
 
-Message = Announce | Withdraw | AdoptDepartures | DrainAll | Tick
+Message = Announce | Withdraw | ReportLeaving | AdoptDepartures | DrainAll | Tick
 Reply = TargetAccepted | TargetsListed | AnnouncementRefused
 
 
@@ -284,6 +292,17 @@
         self._publish()
         return TargetsListed(self._published)
 
+    @handle.register
+    def _leaving(self, message: ReportLeaving) -> Reply:
+        entry = self._entry_by_id.get(message.target_id)
+        if entry is not None and entry.target.state is not TargetState.DRAINING:
+            target = replace(entry.target, state=TargetState.DRAINING)
+            self._add_departure(target.target_id, target.incarnation)
+            self._entry_by_id[message.target_id] = replace(entry, target=target)
+            self._record(EventName.TARGET_CHANGED, target, reason="response")
+            self._publish()
+        return TargetsListed(self._published)
+
     @handle.register
     def _adopt(self, message: AdoptDepartures) -> Reply:
         for departure in message.departures:
--- a/jaypost/calls.py
+++ b/jaypost/calls.py
@@ -39,6 +39,8 @@
 WORK_DURATION = b"x-jaypost-work-duration"
 # Requests per second that a target takes from all nodes together, a decimal number.
 RATE = b"x-jaypost-rate"
+# "1" in the responses of a target that leaves.
+LEAVING = b"x-jaypost-leaving"
 # Milliseconds within which the caller wants the response, from `Row.target_latency_ms`.
 ANSWER_BY_MS = b"x-jaypost-answer-by-ms"
 # Present on an error response when the target may have received the request.
--- a/jaypost/codecs.py
+++ b/jaypost/codecs.py
@@ -201,13 +201,17 @@
 
 
 def _translate_headers(raw: Iterable[Header], dialect: HeaderDialect) -> Iterator[Header]:
+    seen: set[bytes] = set()
     for name, value in raw:
         own = dialect.name_by_wire.get(name)
+        if name in dialect.passed_on:
+            yield name, value
+            if name in seen:  # one that is forwarded may be repeated, the first counts
+                continue
+            seen.add(name)
         if own is not None:
             parse = dialect.parse_by_wire.get(name)
             yield own, parse(value) if parse is not None else value
-            if name in dialect.passed_on:
-                yield name, value
         elif name not in dialect.dropped and not name.startswith(_CONTROL_PREFIX):
             yield name, value
 
--- a/jaypost/daemon.py
+++ b/jaypost/daemon.py
@@ -23,7 +23,13 @@
 from jaypost import STARTED_AT, __version__, logs, settings
 from jaypost.admin import AdminServer, FleetReport, Readiness
 from jaypost.admission import Admission
-from jaypost.announcements import AdoptDepartures, Announcements, Departure, DrainAll
+from jaypost.announcements import (
+    AdoptDepartures,
+    Announcements,
+    Departure,
+    DrainAll,
+    ReportLeaving,
+)
 from jaypost.calls import CallEnded
 from jaypost.claims import Claims
 from jaypost.config import ConfigHolder, RefusedVersion, Stale
@@ -153,7 +159,11 @@
         )
         self.health = TargetHealth(node_settings.ramp_s)
         self.placement = Placement(
-            node_settings.failure_domain, node_settings.region, self.health, rng
+            node_settings.failure_domain,
+            node_settings.region,
+            self.health,
+            rng,
+            leaving_use_s=node_settings.drain_bound_ms / 2000,
         )
         self.uplink = Uplink(node_settings.link_mbps)
         self.egress = Egress(
@@ -195,6 +205,7 @@
         peer_address = await self.egress.start()
         await self.ingress.start()
         await self._start_membership(peer_address)
+        self.egress.on_target_leaving = self._on_target_leaving
         await self.admin.start()  # its replies need the membership view
         self._spawn(self._become_ready())
         self._spawn(self._do_periodic_work())
@@ -417,6 +428,16 @@
             self.events.record(EventName.DEPARTURES_ADOPTED, targets=target_ids)
             self.announcements.handle(AdoptDepartures(departures))
 
+    def _on_target_leaving(self, target_id: str) -> None:
+        """Publish a target as draining that said in a response that it leaves."""
+        known = self.announcements.departures
+        self.announcements.handle(ReportLeaving(target_id, time.monotonic()))
+        if self.announcements.departures != known:
+            self._spawn(self._keep_departures())
+
+    async def _keep_departures(self) -> None:
+        await self._persist_departures()
+
     async def _persist_departures(self) -> bool:
         return await self.departures.persist(self.announcements.departures)
 
--- a/jaypost/egress.py
+++ b/jaypost/egress.py
@@ -39,6 +39,7 @@
     FINAL,
     HOST,
     IDEMPOTENCY_KEY,
+    LEAVING,
     LOAD,
     MAY_QUEUE,
     PRIORITY,
@@ -393,6 +394,9 @@
         elif head.status == HTTPStatus.MISDIRECTED_REQUEST:
             self._refused_kind = ErrorKind.WRONG_TARGET
         self._note_rate(head)
+        is_leaving = head.control.get(LEAVING) == b"1"
+        if is_leaving:
+            self._egress.on_target_leaving(self.target_id)
         if self._refused_kind is not None:
             return
         control = {
@@ -400,6 +404,8 @@
             LOAD: str(self._egress.admission.load(self._target.target_id)).encode(),
             CLASS: self._call_class.encode(),
         }
+        if is_leaving:
+            control[LEAVING] = b"1"
         if FINAL in head.control:
             control[FINAL] = head.control[FINAL]
         self._response_status = head.status
@@ -670,6 +676,8 @@
         )
         self.in_flight = InFlight()
         self.refuses_calls = False
+        # Called with the id of a target for each response in which it says that it leaves.
+        self.on_target_leaving: Callable[[str], None] = lambda target_id: None
         self.target_by_id: dict[str, Target] = {}
         self.own_slots_by_service: dict[str, int] = {}
         self._announced_targets: tuple[Target, ...] = ()
--- a/jaypost/ingress.py
+++ b/jaypost/ingress.py
@@ -26,6 +26,7 @@
     FINAL,
     HOST,
     IDEMPOTENCY_KEY,
+    LEAVING,
     LOAD,
     MAY_QUEUE,
     PRIORITY,
@@ -64,6 +65,7 @@
     Chosen,
     NoTarget,
     Placement,
+    TargetLeaving,
 )
 from jaypost.pools import CallFailed, ConnectionPool, Exchange, PooledExchange, Receiver
 from jaypost.records import (
@@ -674,6 +676,9 @@
                 kind, head.status, may_have_run, final, load, delivered
             )
             return
+        if LEAVING in control:
+            now = self._ingress.clock()
+            self._ingress.placement.observe(TargetLeaving(attempt.placed.target, now))
         if head.status >= 500 and self._retry_server_error(attempt, head, load):
             return
         if self._chosen_attempt is None and attempt in self._live_attempts:
--- a/jaypost/placement.py
+++ b/jaypost/placement.py
@@ -9,12 +9,14 @@
 
 from jaypost.errors import ErrorKind
 from jaypost.health import SHED_STATUS, Observation, TargetHealth
-from jaypost.records import Destination, Load, PlacedTarget, Spill, TargetState
+from jaypost.records import Destination, Load, PlacedTarget, Spill, Target, TargetState
 
 # Targets are grouped in three tiers: 0 for the failure domain of the ingress, 1 for the rest of its
 # region, 2 for other regions. A value of `spill` allows this many tiers, from the closest one on.
 TIER_COUNT_BY_SPILL: Mapping[Spill, int] = {Spill.DOMAIN: 1, Spill.REGION: 2, Spill.ANY: 3}
 REMOTE_TIER = 2
+# Targets that said that they leave, of which a node keeps the word.
+MAX_LEAVING_TARGETS = 1024
 # Leaving the region must save this multiple of the round trip to another region in waiting time. It
 # is more than the round trip alone, because the link between regions is billed by volume.
 CROSS_REGION_COST_FACTOR = 2.0
@@ -154,6 +156,14 @@
     is_long_work: bool = False
 
 
+@dataclass(frozen=True, slots=True)
+class TargetLeaving:
+    """A target said in a response that it leaves."""
+
+    target: Target
+    now: float
+
+
 @dataclass(slots=True)
 class _TargetLoad:
     """Load of one target as the ingress knows it, and until when to avoid the target.
@@ -245,6 +255,8 @@
         Source of the random choices.
     region_round_trip_s : float
         Round trip to another region in seconds.
+    leaving_use_s : float
+        Time in seconds for which a target that said that it leaves is used while no other works.
     """
 
     def __init__(
@@ -254,11 +266,15 @@
         health: TargetHealth,
         rng: random.Random,
         region_round_trip_s: float = 0.03,
+        leaving_use_s: float = 0.0,
     ) -> None:
         self._failure_domain = failure_domain
         self._region = region
         self._health = health
         self._rng = rng
+        self._leaving_use_s = leaving_use_s
+        # Newest word of each target that said that it leaves, the oldest entry first.
+        self._leaving_by_id: dict[str, TargetLeaving] = {}
         self._tier_cost_s = (0.0, 0.0, CROSS_REGION_COST_FACTOR * region_round_trip_s)
         self._load_by_id: dict[str, _TargetLoad] = {}
         self._state_by_service: dict[str, _ServiceState] = {}
@@ -297,8 +313,11 @@
                 return Chosen(target, may_queue=False)
         return Chosen(self._queue_target(state, tiers, query), may_queue=True)
 
-    def observe(self, event: AttemptStarted | AttemptEnded) -> None:
-        """Update the known load and health with the start or end of an attempt."""
+    def observe(self, event: AttemptStarted | AttemptEnded | TargetLeaving) -> None:
+        """Update the known load and health with the start or end of an attempt, or a departure."""
+        if isinstance(event, TargetLeaving):
+            self._note_leaving(event)
+            return
         if isinstance(event, AttemptStarted):
             self._load(event.target_id).inflight += 1
             self._health.attempt_started(event.target_id, event.now)
@@ -306,12 +325,33 @@
         self._attempt_ended(event)
 
     def is_working(self, placed: PlacedTarget, now: float) -> bool:
-        """Tell whether a target is neither ejected nor known to be unavailable."""
+        """Tell whether a target is neither ejected nor known to be unavailable or to leave."""
         load = self._load_by_id.get(placed.target.target_id)
         if load is not None and now < load.unavailable_until:
             return False
+        if self._leaving_for_s(placed, now) >= 0.0:
+            return False
         return self._health.weight(placed.target.target_id, now) > 0.0
 
+    def _note_leaving(self, event: TargetLeaving) -> None:
+        target_id = event.target.target_id
+        known = self._leaving_by_id.get(target_id)
+        if known is not None and known.target.incarnation >= event.target.incarnation:
+            return
+        self._leaving_by_id[target_id] = event
+        if len(self._leaving_by_id) > MAX_LEAVING_TARGETS:
+            del self._leaving_by_id[next(iter(self._leaving_by_id))]
+
+    def _leaving_for_s(self, placed: PlacedTarget, now: float) -> float:
+        """Return the time in seconds since the target said that it leaves; negative if it did not.
+
+        A later start of a target may have the same identifier.
+        """
+        leaving = self._leaving_by_id.get(placed.target.target_id)
+        if leaving is None or placed.target.incarnation > leaving.target.incarnation:
+            return float("-inf")
+        return now - leaving.now
+
     def reported_load(self, target_id: str) -> Load | None:
         """Return the load that the target's node reported last, None when it never did."""
         load = self._load_by_id.get(target_id)
@@ -393,6 +433,11 @@
         or the unreachable ones once every reachable one was tried.
         """
         allowed = state.tiers[: TIER_COUNT_BY_SPILL[query.spill]]
+        if self._leaving_by_id:
+            allowed = tuple(
+                tuple(i for i in tier if self._leaving_for_s(i, query.now) < self._leaving_use_s)
+                for tier in allowed
+            )
         reachable = tuple(tuple(item for item in tier if item.reachable) for tier in allowed)
         if not any(reachable):
             return allowed
--- a/standins/decisions.py
+++ b/standins/decisions.py
@@ -31,6 +31,7 @@
     Chosen,
     NoTarget,
     Placement,
+    TargetLeaving,
 )
 from jaypost.records import Destination, Load, PlacedTarget, Row
 from jaypost.retries import GiveUp, Retry, RetryPolicy, RetryQuery, undelivered_attempt_limit
@@ -66,7 +67,7 @@
         """Tell whether a target is not in `failed_ids`."""
         return placed.target.target_id not in self.failed_ids
 
-    def observe(self, event: AttemptStarted | AttemptEnded) -> None:
+    def observe(self, event: AttemptStarted | AttemptEnded | TargetLeaving) -> None:
         """Record the result of an attempt that ended."""
         if isinstance(event, AttemptEnded):
             self.ended.append(event)
--- a/tests/test_leaving_targets.py
+++ b/tests/test_leaving_targets.py
@@ -6,11 +6,14 @@
 import random
 
 import pytest
+from admin_fakes import load_settings
 
-from jaypost.errors import RunState
+from jaypost.announcements import Announce, Announcements, Departure, ReportLeaving
+from jaypost.errors import ErrorKind, RunState
+from jaypost.events import EventLog
 from jaypost.health import TargetHealth
-from jaypost.placement import Placement
-from jaypost.records import Row
+from jaypost.placement import ChooseTarget, Chosen, NoTarget, Placement, TargetLeaving
+from jaypost.records import Address, PlacedTarget, Row, Spill, Target, TargetState
 from tests.harness import UvloopPolicy, running_mesh
 from tests.test_faulty_targets import FaultyTarget, response
 
@@ -47,3 +50,49 @@
         await client.close()
         node.targets.clear()
     server.close()
+
+
+def placed(target_id: str, incarnation: int = 1) -> PlacedTarget:
+    target = Target(target_id, "orders", 9000, 4, TargetState.READY, incarnation)
+    return PlacedTarget(target, "n", "d", "r", Address("127.0.0.1", 1))
+
+
+@pytest.mark.parametrize(
+    ("targets", "after_s", "chosen"),
+    [
+        pytest.param((placed("a"), placed("b")), 0.1, {"b"}, id="another works"),
+        pytest.param((placed("a"),), 0.1, {"a"}, id="no other, soon after"),
+        pytest.param((placed("a"),), 1.0, None, id="no other, later"),
+        pytest.param((placed("a", 2),), 1.0, {"a"}, id="started again"),
+    ],
+)
+def test_leaving_target_is_used_for_a_moment_only_if_no_other_works(
+    targets: tuple[PlacedTarget, ...], after_s: float, chosen: set[str] | None
+) -> None:
+    """Guards against requests to a target that leaves, and against needless refusals."""
+    placement = Placement("d", "r", TargetHealth(), random.Random(1), leaving_use_s=0.5)
+    placement.observe(TargetLeaving(placed("a").target, 10.0))
+    placement.observe(TargetLeaving(placed("a").target, 10.0 + after_s))
+    query = ChooseTarget("orders", targets, Spill.ANY, frozenset(), False, 10.0 + after_s)
+    choices = [placement.choose(query) for _ in range(20)]
+    if chosen is None:
+        assert {item.kind for item in choices if isinstance(item, NoTarget)} == {
+            ErrorKind.NO_TARGET
+        }
+    else:
+        assert {c.target.target.target_id for c in choices if isinstance(c, Chosen)} == chosen
+
+
+def test_node_publishes_a_target_that_says_that_it_leaves_as_draining() -> None:
+    """Guards against nodes that have not heard the target themselves, and a restart of its node."""
+    published: list[tuple[Target, ...]] = []
+    announcements = Announcements(load_settings(), published.append, EventLog())
+    body = b'{"service": "orders", "slots": 4, "state": "ready", "port": 9000, "born": 7}'
+    announcements.handle(Announce("t", body, 0.0))
+    for _ in range(2):
+        announcements.handle(ReportLeaving("t", 0.1))
+    announcements.handle(ReportLeaving("unknown", 0.1))
+    assert [targets[0].state for targets in published] == [TargetState.READY, TargetState.DRAINING]
+    assert announcements.departures == (Departure("t", 7),)
+    announcements.handle(Announce("t", body, 0.2))
+    assert announcements.targets[0].state is TargetState.DRAINING
--- a/tests/test_platform_documents.py
+++ b/tests/test_platform_documents.py
@@ -173,6 +173,24 @@
     assert head.headers == []
 
 
+@pytest.mark.parametrize(
+    ("lines", "control"),
+    [
+        (b"Server-Limit: 26.5\r\n", {calls.RATE: b"26.5"}),
+        (b"Server-Limit: 26.5\r\nServer-Limit: 9\r\n", {calls.RATE: b"26.5"}),
+        (b"Server-Leaving: 1\r\n", {calls.LEAVING: b"1"}),
+    ],
+)
+def test_words_of_a_target_are_read_and_passed_on(lines: bytes, control: dict) -> None:
+    """Guards against a limit or a departure that the node reads but the caller does not see."""
+    codec = client_codec(HttpCodec.HTTPTOOLS, 4096, TARGET_DIALECT)
+    codec.encode_request(RequestHead("GET", "/", {calls.HOST: b"a"}, []))
+    head, *_ = codec.receive(b"HTTP/1.1 200 OK\r\n%bContent-Length: 0\r\n\r\n" % lines)
+    assert isinstance(head, ResponseHead)
+    assert head.control == control
+    assert len(head.headers) == lines.count(b"\r\n")
+
+
 def test_deploy_files_name_existing_settings() -> None:
     """Guards against deploy files with unknown settings or without required ones.
 
