Refuse odd entries of other writers as a whole

Operators of systems like this one report hosts that ended again and again, or stopped following a list, because of one odd entry: nested deeply, a number too large, a port out of range.

A start time far in the future would also have made the later announcements of a target late.

Every decoder of foreign bytes now treats these as malformed, and numbers are bounded where they are decoded. An odd entry names nothing to use; the others hold.

--- a/jaypost/announcements.py
+++ b/jaypost/announcements.py
@@ -23,6 +23,9 @@
 MAX_TARGETS = 64  # on one host; also the number of departures kept
 MAX_SLOTS = 10_000  # of one target
 MAX_NAME_CHARACTERS = 64
+# Start of the year 2100. A later start of one odd announcement would make all others late.
+MAX_START_MS = 4_102_444_800_000
+MAX_SEQUENCE = 2**62  # fits the integers of the control messages
 TICK_INTERVAL_S = 0.5
 # After this fraction of the timeout without an announcement, another target may take over the port:
 # a target announces three times within the timeout, so the owner has missed an announcement. A gap
@@ -463,7 +466,7 @@
     """
     try:
         parsed = msgspec.json.decode(body, type=AnnouncementBody)
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+    except (ValueError, RecursionError) as error:
         return AnnouncementRefused(ErrorKind.BAD_REQUEST, str(error))
     address = Address(LOOPBACK, parsed.port)
     if parsed.address:
@@ -498,8 +501,8 @@
         return f"address must be on this host, {own_host}"
     if not 1 <= address.port <= 65_535:
         return "port must be between 1 and 65535"
-    if body.born < 0 or body.sequence < 0:
-        return "born and sequence must not be negative"
+    if not 0 <= body.born <= MAX_START_MS or not 0 <= body.sequence <= MAX_SEQUENCE:
+        return f"born and sequence must be between 0 and {MAX_START_MS} and {MAX_SEQUENCE}"
     if not 1 <= body.slots <= MAX_SLOTS:
         return f"slots must be between 1 and {MAX_SLOTS}"
     if body.state not in ANNOUNCED_STATES:
--- a/jaypost/departures.py
+++ b/jaypost/departures.py
@@ -89,7 +89,7 @@
             return None
         try:
             departures = _decoder.decode(found.value)
-        except msgspec.DecodeError as error:
+        except (ValueError, RecursionError) as error:
             log.error(EventName.DEPARTURE_NOT_KEPT, key=self._key, reason=str(error))
             return ()
         self._kept = frozenset(departures)
--- a/jaypost/seeds.py
+++ b/jaypost/seeds.py
@@ -109,8 +109,11 @@
         for entry in listed.entries:
             domain = entry.key.removeprefix(SEED_PREFIX).rpartition("/")[0]
             try:
-                address, _, region = entry.value.decode().partition(" ")
-                seeds.append(Seed(domain, parse_address(address), region))
+                text, _, region = entry.value.decode().partition(" ")
+                address = parse_address(text)
+                if not address.port:
+                    raise ValueError("port must not be 0")
+                seeds.append(Seed(domain, address, region))
             except ValueError as error:
                 log.warning("seed_malformed", key=entry.key, error=str(error))
         return tuple(seeds)
--- a/jaypost/store_client.py
+++ b/jaypost/store_client.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import base64
-import binascii
 from urllib.parse import quote
 
 import msgspec
@@ -138,7 +137,7 @@
                 StoreEntry(entry.key, entry.revision, base64.b64decode(entry.value, validate=True))
                 for entry in listed
             ]
-        except (msgspec.DecodeError, binascii.Error) as error:
+        except (ValueError, RecursionError) as error:
             return call.failure(f"malformed listing: {error}")
         return Listed(tuple(entries))
 
@@ -152,7 +151,7 @@
             return unexpected_status(call, response)
         try:
             return LeaseGranted(_lease_decoder.decode(response.body).lease_id)
-        except msgspec.DecodeError as error:
+        except (ValueError, RecursionError) as error:
             return call.failure(f"malformed lease: {error}")
 
     async def renew_lease(self, lease_id: str) -> RenewOutcome:
--- a/jaypost/store_connections.py
+++ b/jaypost/store_connections.py
@@ -9,7 +9,6 @@
 from urllib.parse import urlencode
 
 import h11
-import msgspec
 
 from jaypost.records import Address
 from jaypost.store import Effect, StoreCallEnded, StoreFailed
@@ -35,7 +34,7 @@
 
 
 # Exceptions from the network and from malformed responses, reported as `StoreFailed`.
-_CALL_ERRORS = (OSError, TimeoutError, h11.ProtocolError, msgspec.DecodeError, ValueError)
+_CALL_ERRORS = (OSError, TimeoutError, h11.ProtocolError, ValueError, RecursionError)
 
 
 @dataclass(slots=True, eq=False)
--- a/jaypost/table.py
+++ b/jaypost/table.py
@@ -296,7 +296,7 @@
     """
     try:
         return typing.cast(T, _convert(msgspec.msgpack.decode(_decompress(data)), expected_type))
-    except (zlib.error, msgspec.DecodeError, ValueError) as error:
+    except (zlib.error, ValueError, RecursionError) as error:
         return DecodeFailure(str(error))
 
 
