Assert that each request started at a named rate has a token

The rule that a target gets no more than the rate it names is now asserted where a request takes its slot, like the limit of the slots. With the check in has_slot taken out, 13 cases of test_target_rates.py raise this violation; with it, all pass. No behaviour changes.

--- a/jaypost/admission.py
+++ b/jaypost/admission.py
@@ -494,6 +494,7 @@
         """Mark a slot as busy."""
         self.busy += 1
         if self._named_rate is not None:
+            check(self._has_token(), "admission_named_rate", target=self.target.target_id)
             self._named_rate.take(self.now)
         if call_class is CallClass.SHORT:
             self.service_time.started(self.now)
