--- a/jaypost/daemon.py
+++ b/jaypost/daemon.py
@@ -245,7 +245,7 @@
             self.gossip.replicate,
             self.gossip.store_reader_place,
             node_settings,
-            stands_by=self.gossip.stands_by,
+            is_candidate=self.gossip.is_store_candidate,
             source=self._integration.make_table_source(node_settings),
         )
         self.gossip.on_store_reading_changed = self.reader.notify_role_changed
--- a/jaypost/gossip.py
+++ b/jaypost/gossip.py
@@ -362,8 +362,8 @@
         place = self._election.regional_place(candidates(self._view))
         return self._fallback_reader or place is not None
 
-    def stands_by(self) -> bool:
-        """Tell whether this node takes over from nodes that read the store when they fail."""
+    def is_store_candidate(self) -> bool:
+        """Tell whether this node reads the store for its region, or would if others failed."""
         return self.is_reader() and self._own_id in candidates(self._view).own_region
 
     def newest_at(self) -> float | None:
--- a/jaypost/readers.py
+++ b/jaypost/readers.py
@@ -95,8 +95,8 @@
         does not read the store.
     settings : Settings
         Settings of the node.
-    stands_by : Callable[[], bool]
-        Tells whether this node takes over from readers that fail.
+    is_candidate : Callable[[], bool]
+        Tells whether this node is a reader, or becomes one when others fail.
     source : TableSource
         Location and encoding of the newest version.
     rng : random.Random
@@ -128,7 +128,7 @@
         reader_place: Callable[[], int | None],
         settings: Settings,
         *,
-        stands_by: Callable[[], bool] = lambda: False,
+        is_candidate: Callable[[], bool] = lambda: False,
         source: TableSource = HEAD_SOURCE,
         rng: random.Random | None = None,
         sleep: Callable[[float], Awaitable[None]] = asyncio.sleep,
@@ -140,7 +140,7 @@
         self._replicate = replicate
         self._reader_place = reader_place
         self._settings = settings
-        self._stands_by = stands_by
+        self._is_candidate = is_candidate
         self._source = source
         self._rng = rng or random.Random()
         self._sleep = sleep
@@ -233,7 +233,7 @@
         may be due soon.
         """
         is_reader = self._reader_place() is not None
-        if not is_reader and not self._stands_by():
+        if not is_reader and not self._is_candidate():
             self._candidate_since = None
             return False
         now = self._clock()
--- a/tests/test_lost_readers.py
+++ b/tests/test_lost_readers.py
@@ -183,7 +183,7 @@
             self.gossip.replicate,
             self.gossip.store_reader_place,
             self.settings,
-            stands_by=self.gossip.stands_by,
+            is_candidate=self.gossip.is_store_candidate,
             source=SOURCE,
             rng=rng,
             clock=time.monotonic,
