--- a/jaypost/ingress.py
+++ b/jaypost/ingress.py
@@ -516,7 +516,8 @@
             self._fail(ErrorKind.DEADLINE_EXCEEDED)
             return
         if ingress.may_outlast_drain(self._deadline):
-            self._fail(ErrorKind.DRAINING)
+            if not hedge:
+                self._fail(ErrorKind.DRAINING)
             return
         repeatable = self._head.method in row.repeatable_methods
         if not check(
--- a/tests/test_late_in_drain.py
+++ b/tests/test_late_in_drain.py
@@ -7,6 +7,8 @@
 import pytest
 
 from jaypost.errors import RunState
+from jaypost.records import Row
+from standins.target import Behaviour
 from tests.harness import RawClient, UvloopPolicy, running_mesh, wait_until
 
 DRAIN_TIMEOUT_S = 2.0
@@ -53,3 +55,21 @@
         assert executions or reply.run == RunState.NOT_RUN
         assert await drain
         await client.close()
+
+
+@pytest.mark.parametrize("codec", ["httptools", "h11"])
+async def test_hedge_that_could_be_cut_off_does_not_end_its_call(codec: str) -> None:
+    """Guards against a request that is refused late in a drain although a target works on it."""
+    row = Row("orders", hedge_ms=300)
+    async with running_mesh(codec, (1, 1), row=row, local=False) as mesh:
+        node = mesh.nodes[0]
+        for mesh_node in mesh.nodes:
+            mesh_node.targets[0].behaviour = Behaviour(slow_ms=600)
+        client = await mesh.client()
+        client.send_request("GET", "/work/0", x_request_id="r1", x_jaypost_deadline_ms=LONG_MS)
+        await wait_until(lambda: node.targets[0].running == 1)
+        drained = await node.ingress.drain(DRAIN_TIMEOUT_S)
+        reply = await client.read_reply()
+        assert (drained, reply.status) == (True, 200)
+        assert [len(mesh_node.targets[0].journal) for mesh_node in mesh.nodes] == [1, 0]
+        await client.close()
