--- a/jaypost/calls.py
+++ b/jaypost/calls.py
@@ -37,7 +37,8 @@
 SHED = b"x-jaypost-shed"
 # Current duration of work at a target, in percent of the usual one.
 WORK_DURATION = b"x-jaypost-work-duration"
-# Requests per second that a target takes from all nodes together, a decimal number.
+# Requests per second that a target takes from all nodes together, a decimal number. An ingress
+# sends what it knows with its requests, for a restarted node that has not heard its target yet.
 RATE = b"x-jaypost-rate"
 # "1" in the responses of a target that leaves.
 LEAVING = b"x-jaypost-leaving"
--- a/jaypost/egress.py
+++ b/jaypost/egress.py
@@ -189,6 +189,9 @@
         if not egress.breakers.allows(self.target_id, now):
             self._refuse(ErrorKind.TARGET_DOWN)
             return
+        known_rate = self._head.control.get(RATE)
+        if known_rate is not None and not egress.rates.has_heard(self.target_id):
+            egress.note_rate(self.target_id, parse_rate(known_rate))
         query = LimitQuery(
             self._row,
             egress.own_slots_by_service.get(self._target.service, 0),
@@ -397,6 +400,7 @@
         elif head.status == HTTPStatus.MISDIRECTED_REQUEST:
             self._refused_kind = ErrorKind.WRONG_TARGET
         self._note_rate(head)
+        rate = self._egress.rates.rate_by_id.get(self.target_id)
         is_leaving = head.control.get(LEAVING) == b"1"
         if is_leaving:
             self._egress.on_target_leaving(self.target_id)
@@ -407,6 +411,8 @@
             LOAD: str(self._egress.admission.load(self._target.target_id)).encode(),
             CLASS: self._call_class.encode(),
         }
+        if rate is not None:
+            control[RATE] = b"%.6g" % rate
         if is_leaving:
             control[LEAVING] = b"1"
         if FINAL in head.control:
@@ -425,6 +431,7 @@
 
     def _note_rate(self, head: ResponseHead) -> None:
         """Note the rate that the target names; only a request that was run tells that it ended."""
+        self._egress.rates.heard(self.target_id)
         named = head.control.get(RATE)
         rate = parse_rate(named) if named is not None else None
         if rate is not None or (named is None and self._refused_kind is None):
--- a/jaypost/ingress.py
+++ b/jaypost/ingress.py
@@ -30,6 +30,7 @@
     LOAD,
     MAY_QUEUE,
     PRIORITY,
+    RATE,
     REQUEST_ID,
     RETRY,
     RUN,
@@ -110,6 +111,8 @@
     ErrorKind.CONNECT_FAILED: (0.05, 0.3),
     ErrorKind.CONNECTION_LIMIT: (0.05, 0.3),
 }
+# Targets whose rates an ingress remembers.
+MAX_NAMED_RATES = 1024
 REQUEST_ID_PATTERN = re.compile(rb"[!-~]{1,128}")
 TENANT_PATTERN = re.compile(rb"[A-Za-z0-9_.-]{1,64}")
 IDEMPOTENCY_KEY_PATTERN = re.compile(rb"[!-~]{1,255}")
@@ -607,6 +610,9 @@
             CALLER: self._ingress.settings.service.encode(),
             PRIORITY: b"%d" % self._row.priority,
         }
+        rate = self._ingress.rate_by_target_id.get(attempt.placed.target.target_id)
+        if rate is not None:
+            control[RATE] = rate
         if self._row.target_latency_ms:
             control[ANSWER_BY_MS] = b"%d" % max(0, int((self._answer_by - now) * 1000))
         # An earlier execution may already have made calls to other services, so the nodes further
@@ -680,6 +686,7 @@
                 kind, head.status, may_have_run, final, load, delivered
             )
             return
+        self._ingress.note_rate(attempt.placed.target.target_id, control.get(RATE))
         if LEAVING in control:
             now = self._ingress.clock()
             self._ingress.placement.observe(TargetLeaving(attempt.placed.target, now))
@@ -1029,6 +1036,8 @@
         self.in_flight = InFlight()
         self.refuses_calls = False
         self._drain_ends_at = float("inf")
+        # Rates that targets name, as in the header `RATE`; the oldest entry first.
+        self.rate_by_target_id: dict[str, bytes] = {}
         self._tasks: set[asyncio.Task[None]] = set()
         self._request_id_prefix = secrets.token_hex(6)
         self._request_id_counter = itertools.count(1)
@@ -1070,6 +1079,15 @@
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
+    def note_rate(self, target_id: str, rate: bytes | None) -> None:
+        """Note the rate that a target names in a response, None if it names none."""
+        if rate is None:
+            self.rate_by_target_id.pop(target_id, None)
+            return
+        self.rate_by_target_id[target_id] = rate
+        if len(self.rate_by_target_id) > MAX_NAMED_RATES:
+            del self.rate_by_target_id[next(iter(self.rate_by_target_id))]
+
     def may_outlast_drain(self, deadline: float) -> bool:
         """Tell whether a call that starts now may be cut off at the end of a drain.
 
--- a/jaypost/target_rates.py
+++ b/jaypost/target_rates.py
@@ -23,6 +23,8 @@
         self.rate_by_id: dict[str, float] = {}
         # Requests started at a target while it names a rate.
         self.starts_by_id: Counter[str] = Counter()
+        # Targets that have responded to this process.
+        self._heard_ids: set[str] = set()
 
     def note(self, target_id: str, rate: float | None) -> bool:
         """Note the rate in a response, None if it names none; return whether it changed."""
@@ -42,6 +44,14 @@
         )
         return True
 
+    def heard(self, target_id: str) -> None:
+        """Note that a target responded; what other nodes know of its rate no longer counts."""
+        self._heard_ids.add(target_id)
+
+    def has_heard(self, target_id: str) -> bool:
+        """Tell whether a target has responded to this process."""
+        return target_id in self._heard_ids
+
     def started(self, target_id: str) -> None:
         """Count a request that is started at a target, if the target names a rate."""
         if target_id in self.rate_by_id:
@@ -50,6 +60,7 @@
     def retain(self, target_ids: Iterable[str]) -> None:
         """Keep what is known of these targets and forget all others."""
         kept = set(target_ids)
+        self._heard_ids &= kept
         for by_id in (self.rate_by_id, self.starts_by_id):
             for target_id in by_id.keys() - kept:
                 del by_id[target_id]
--- a/tests/test_target_rates.py
+++ b/tests/test_target_rates.py
@@ -20,9 +20,9 @@
 )
 from jaypost.calls import parse_rate
 from jaypost.errors import RunState
-from jaypost.records import Row, Target, TargetState
-from tests.harness import Reply, UvloopPolicy
-from tests.test_faulty_targets import egress_of, response, send
+from jaypost.records import Address, Row, Target, TargetState
+from tests.harness import RawClient, Reply, UvloopPolicy, running_mesh
+from tests.test_faulty_targets import FaultyTarget, egress_of, response, send
 
 RATE = 10.0
 REQUESTS = 300
@@ -172,3 +172,76 @@
 def test_malformed_rates_are_ignored(value: bytes, rate: float | None) -> None:
     """Guards against a faulty target that stops its own requests, or lifts its limit."""
     assert parse_rate(value) == rate
+
+
+async def name_rate_once(writer: asyncio.StreamWriter, request_id: str) -> None:
+    writer.write(response(request_id, "200 OK", b"ran", "x-jaypost-rate: 26.5"))
+
+
+async def name_no_rate(writer: asyncio.StreamWriter, request_id: str) -> None:
+    writer.write(response(request_id, "200 OK", b"ran"))
+
+
+async def say_nothing(writer: asyncio.StreamWriter, request_id: str) -> None:
+    return None
+
+
+@pytest.mark.parametrize("codec", ["httptools", "h11"])
+async def test_restarted_node_keeps_the_rate_that_an_ingress_knows(codec: str) -> None:
+    """Guards against all slots of a target in need being filled when its node is restarted."""
+    async with egress_of(codec, say_nothing, admission=Admission()) as (target, client):
+        for number in range(20):
+            other = await RawClient.open(Address(*client.writer.get_extra_info("peername")[:2]))
+            other.send_request(
+                "POST",
+                "/work/0",
+                b"",
+                x_jaypost_target="faulty",
+                x_request_id=f"r{number}",
+                x_jaypost_deadline_ms="5000",
+                x_jaypost_rate="0.4",
+            )
+            if number:
+                reply = await other.read_reply()
+                assert (reply.status, reply.run) == (503, RunState.NOT_RUN)
+            await other.close()
+        assert len(target.request_ids) <= 1
+
+
+@pytest.mark.parametrize("codec", ["httptools", "h11"])
+async def test_target_that_was_heard_overrides_what_an_ingress_knows(codec: str) -> None:
+    """Guards against a limit that comes back after the target lifted it."""
+    async with egress_of(codec, name_no_rate, admission=Admission()) as (target, client):
+        assert (await send(client, "first")).status == 200
+        for number in range(20):
+            reply = await client.call(
+                "POST",
+                "/work/0",
+                b"",
+                x_jaypost_target="faulty",
+                x_request_id=f"r{number}",
+                x_jaypost_rate="0.4",
+            )
+            assert reply.status == 200
+        assert len(target.request_ids) == 21
+
+
+@pytest.mark.parametrize("codec", ["httptools", "h11"])
+async def test_ingress_tells_what_it_knows_of_a_rate(codec: str) -> None:
+    """Guards against a restarted node that learns nothing from the ingress nodes."""
+    target = FaultyTarget([name_rate_once, name_no_rate])
+    server = await asyncio.start_server(target.serve, "127.0.0.1", 0)
+    target.port = server.sockets[0].getsockname()[1]
+    async with running_mesh(codec, (0,), row=Row("orders"), local=False) as mesh:
+        node = mesh.nodes[0]
+        node.egress.admission = Admission()
+        node.targets.append(target)
+        mesh.publish()
+        client = await mesh.client()
+        assert (await client.call("GET", "/work/0")).status == 200
+        assert node.ingress.rate_by_target_id == {"faulty": b"26.5"}
+        assert (await client.call("GET", "/work/0")).status == 200
+        assert node.ingress.rate_by_target_id == {}
+        await client.close()
+        node.targets.clear()
+    server.close()
