Show that a drain cuts pipelined requests that servers are running

Tried: SIGTERM to both nodes of a zone, 1 s apart, with six consumers on each that send two safe requests (0.4 s and 0.8 s of work) at a time; servers of another zone run them.

--- a/review/harness.py
+++ b/review/harness.py
@@ -22,7 +22,7 @@
 import time
 import tomllib
 import traceback
-from collections.abc import Awaitable, Callable, Mapping
+from collections.abc import AsyncIterator, Awaitable, Callable, Mapping, Sequence
 from dataclasses import dataclass, field
 from pathlib import Path
 
@@ -250,6 +250,7 @@
     address: Address
     control: Address
     record: Record
+    zone: str
     work: Work = answer_at_once
     service: str = SERVICE
     instance_id: str = field(default_factory=lambda: f"i-{new_id()}")
@@ -284,7 +285,7 @@
         body = {
             "service": self.service,
             "address": str(self.address),
-            "failure_domain": "addis-bole",
+            "failure_domain": self.zone,
             "version": "v1",
             "slots": 9,
             "state": self.state,
@@ -326,8 +327,11 @@
 class Node:
     """A process of the project with the command and the settings template of the deploy file."""
 
-    def __init__(self, name: str, store: Address, directory: Path, record: Record) -> None:
+    def __init__(
+        self, name: str, zone: str, store: Address, directory: Path, record: Record
+    ) -> None:
         self.name = name
+        self.zone = zone
         self.host = own_host()
         self.record = record
         self._directory = directory
@@ -343,7 +347,7 @@
         self.app = Address(self.host, free_port(self.host))
         self._values = {
             "NodeName": name,
-            "failure_domain": "addis-bole",
+            "failure_domain": zone,
             "Region": "addis",
             "service": SERVICE,
             "Platform.address": str(store),
@@ -432,12 +436,34 @@
 
 @dataclass
 class Site:
-    """A store, nodes with one server each, and the record of the case."""
+    """A store, nodes with one server each, and the record of the case.
+
+    `receives_work` tells for each node whether its consumers get new work, see `watch_readiness`.
+    """
 
     store: PlatformStoreServer
     nodes: list[Node]
     servers: list[Server]
     record: Record
+    receives_work: dict[str, bool] = field(default_factory=dict)
+
+    async def watch_readiness(self) -> None:
+        """Ask every node each second whether it is ready, as the platform does.
+
+        After two misses in a row a machine receives no new work until it answers with 200, unless
+        fewer than half of the machines of its zone are in.
+        """
+        misses = {node.name: 0 for node in self.nodes}
+        while True:
+            answers = await asyncio.gather(*(node.is_ready() for node in self.nodes))
+            for node, ready in zip(self.nodes, answers, strict=True):
+                misses[node.name] = 0 if ready else misses[node.name] + 1
+            for node in self.nodes:
+                zone = [misses[item.name] < 2 for item in self.nodes if item.zone == node.zone]
+                all_receive = sum(zone) * 2 < len(zone)
+                self.receives_work[node.name] = misses[node.name] < 2 or all_receive
+            self.record.write(f"receive work: {self.receives_work}")
+            await asyncio.sleep(1)
 
     async def wait_served(self, method: str, path: str) -> None:
         """Wait until every node serves a request."""
@@ -489,18 +515,20 @@
 
 
 @contextlib.asynccontextmanager
-async def running_site(record: Record, node_count: int = 1, work: Work = answer_at_once):
-    """Start a store, nodes and their servers; end all of them afterwards."""
+async def running_site(
+    record: Record, zones: Sequence[str] = ("addis-bole",), work: Work = answer_at_once
+) -> AsyncIterator[Site]:
+    """Start a store, a node and a server for each entry of `zones`; end all of them afterwards."""
     with tempfile.TemporaryDirectory() as directory:
         store_host = own_host()
         store = PlatformStoreServer(Address(store_host, free_port(store_host)))
         await store.start()
         await store.write("op/config", configuration(ROUTES, [SERVICE]))
         nodes = [
-            Node(f"sidecar-{number + 1}", store.address, Path(directory), record)
-            for number in range(node_count)
+            Node(f"sidecar-{zone}-{number}", zone, store.address, Path(directory), record)
+            for number, zone in enumerate(zones, 1)
         ]
-        servers = [Server(node.app, node.control, record, work) for node in nodes]
+        servers = [Server(node.app, node.control, record, node.zone, work) for node in nodes]
         try:
             for node in nodes:
                 node.start()
