--- a/review/harness.py
+++ b/review/harness.py
@@ -328,10 +328,17 @@
     """A process of the project with the command and the settings template of the deploy file."""
 
     def __init__(
-        self, name: str, zone: str, store: Address, directory: Path, record: Record
+        self,
+        name: str,
+        zone: str,
+        store: Address,
+        directory: Path,
+        record: Record,
+        service: str = SERVICE,
     ) -> None:
         self.name = name
         self.zone = zone
+        self.service = service
         self.host = own_host()
         self.record = record
         self._directory = directory
@@ -349,7 +356,7 @@
             "NodeName": name,
             "failure_domain": zone,
             "Region": "addis",
-            "service": SERVICE,
+            "service": service,
             "Platform.address": str(store),
             "ListenAddrs.Outbound": str(self.outbound),
             "ListenAddrs.Inbound": f"{self.host}:{inbound}",
@@ -478,10 +485,10 @@
                 await asyncio.sleep(0.1)
 
 
-def configuration(routes: list[dict[str, object]], services: list[str]) -> bytes:
+def configuration(version: int, routes: list[dict[str, object]], services: list[str]) -> bytes:
     """Return the operator's document."""
     document = {
-        "version": 7,
+        "version": version,
         "routes": routes,
         "services": [
             {"name": name, "health_path": "/health", "max_connections": 110} for name in services
@@ -516,19 +523,41 @@
 
 @contextlib.asynccontextmanager
 async def running_site(
-    record: Record, zones: Sequence[str] = ("addis-bole",), work: Work = answer_at_once
+    record: Record,
+    zones: Sequence[str] = ("addis-bole",),
+    work: Work = answer_at_once,
+    services: Sequence[str] = (),
+    document: bytes = b"",
 ) -> AsyncIterator[Site]:
-    """Start a store, a node and a server for each entry of `zones`; end all of them afterwards."""
+    """Start a store, nodes and servers; end all of them afterwards.
+
+    Parameters
+    ----------
+    record : Record
+        Record of the case.
+    zones : sequence of str
+        Zone of each node.
+    work : callable
+        How the servers run requests.
+    services : sequence of str
+        Service of the server beside each node; by default `SERVICE`.
+    document : bytes
+        First configuration; by default `ROUTES` to `SERVICE`.
+    """
     with tempfile.TemporaryDirectory() as directory:
         store_host = own_host()
         store = PlatformStoreServer(Address(store_host, free_port(store_host)))
         await store.start()
-        await store.write("op/config", configuration(ROUTES, [SERVICE]))
+        await store.write("op/config", document or configuration(7, ROUTES, [SERVICE]))
         nodes = [
-            Node(f"sidecar-{zone}-{number}", zone, store.address, Path(directory), record)
-            for number, zone in enumerate(zones, 1)
+            Node(f"sidecar-{zone}-{number}", zone, store.address, Path(directory), record, service)
+            for number, (zone, service) in enumerate(
+                zip(zones, services or [SERVICE] * len(zones), strict=True), 1
+            )
+        ]
+        servers = [
+            Server(node.app, node.control, record, node.zone, work, node.service) for node in nodes
         ]
-        servers = [Server(node.app, node.control, record, node.zone, work) for node in nodes]
         try:
             for node in nodes:
                 node.start()
