--- a/review/4/case.py
+++ b/review/4/case.py
@@ -1,8 +1,9 @@
-"""Sends a long body and then another request on a kept connection."""
+"""Stops both nodes of a zone, one after the other, while consumers pipeline safe requests."""
 
 from __future__ import annotations
 
 import asyncio
+import signal
 import sys
 import time
 from pathlib import Path
@@ -10,9 +11,13 @@
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent))
 
 from harness import (
-    SERVICE,
+    GRACE_S,
     Node,
     Record,
+    Request,
+    Server,
+    Site,
+    encode_answer,
     encode_request,
     new_request,
     read_answer,
@@ -22,57 +27,88 @@
     trouble,
 )
 
-# Service of the server beside the consumers; the requests go to the other machine.
-CALLER_SERVICE = "wuno96b"
-CONNECTIONS = 12
-BODY_BYTES = 100_000 if trouble() else 60_000
-CHUNK_BYTES = 8_000
-# `TimeoutS` of the routes in `harness.ROUTES`, and the time after it within which an answer is due.
-TIMEOUT_S = 2.0
-SLACK_S = 0.5
-CONSUMER_TIMEOUT_MS = 4000
+CONSUMERS = 6
+# Work of the two requests that a consumer sends behind each other.
+WORK_S = (0.4, 0.8)
+PAUSE_S = 0.05
+PLAY_S = 8.0
+SIGTERM_AFTER_S = 1.5
+# Pause between the two machines, as in the days of the site.
+GAP_S = 1.0
+ZONES = ("addis-bole", "addis-bole", "addis-kality", "addis-kality", "addis-kality")
 
 
-async def use_connection(node: Node, record: Record) -> float | None:
-    """Send two requests on a connection; return the duration of the second, None if unanswered."""
-    reader, writer = await asyncio.open_connection(node.outbound.host, node.outbound.port)
-    try:
-        long = new_request("POST", "/order/long", b"z" * BODY_BYTES)
-        record.write(f"sent id={sent_id(long)} body={BODY_BYTES}")
-        writer.write(encode_request(long, CHUNK_BYTES))
-        answer = await asyncio.wait_for(read_answer(reader), TIMEOUT_S + SLACK_S)
-        record.write(f"answered id={sent_id(long)} {answer.status} {answer.headers}")
-        request = new_request("GET", "/view/next", timeout_ms=CONSUMER_TIMEOUT_MS)
-        started_at = time.monotonic()
-        record.write(f"sent id={sent_id(request)}")
-        writer.write(encode_request(request))
+async def work(server: Server, request: Request, writer: asyncio.StreamWriter) -> None:
+    """Run a request for the time in its path, in seconds."""
+    await asyncio.sleep(float(request.path.rpartition("/")[2]))
+    writer.write(encode_answer(request.request_id, 200, b"x" * 1000))
+
+
+async def consume(site: Site, node: Node, until: float) -> list[str]:
+    """Send pairs of requests on a connection; return the ids of those that were not answered."""
+    unanswered: list[str] = []
+    record = site.record
+    while time.monotonic() < until:
+        if not site.receives_work[node.name]:
+            await asyncio.sleep(PAUSE_S)
+            continue
+        try:
+            reader, writer = await asyncio.open_connection(node.outbound.host, node.outbound.port)
+        except OSError:
+            await asyncio.sleep(PAUSE_S)
+            continue
         try:
-            answer = await asyncio.wait_for(read_answer(reader), CONSUMER_TIMEOUT_MS / 1000)
-        except TimeoutError:
-            record.write(f"no answer id={sent_id(request)}")
-            return None
-        record.write(f"answered id={sent_id(request)} {answer.status}")
-        return time.monotonic() - started_at
-    finally:
-        writer.close()
+            while time.monotonic() < until and site.receives_work[node.name]:
+                pair = [new_request("GET", f"/view/{work_s}") for work_s in WORK_S]
+                writer.write(b"".join(encode_request(item) for item in pair))
+                waiting = [sent_id(item) for item in pair]
+                record.write(f"sent {' '.join(waiting)}")
+                closes = False
+                while waiting and not closes:
+                    answer = await asyncio.wait_for(read_answer(reader), 5)
+                    request_id = waiting.pop(0)
+                    closes = answer.headers.get("connection") == "close"
+                    record.write(f"answered {request_id} {answer.status}{' and closes' * closes}")
+                    pause_s = float(answer.headers.get("retry-after", 0)) + PAUSE_S
+                unanswered += waiting
+                await asyncio.sleep(pause_s)
+                if closes:
+                    break
+        except (asyncio.IncompleteReadError, ConnectionError):
+            record.write(f"closed without an answer: {' '.join(waiting)}")
+            unanswered += waiting
+        finally:
+            writer.close()
+    return unanswered
 
 
 async def play(record: Record) -> bool:
-    """Count the requests that are unanswered at `TIMEOUT_S`, and those still so `SLACK_S` later."""
-    zones, services = ("addis-bole", "addis-kality"), (CALLER_SERVICE, SERVICE)
-    async with running_site(record, zones, services=services) as site:
-        await site.wait_served("POST", "/order/warm")
-        node = site.nodes[0]
-        durations = await asyncio.gather(
-            *(use_connection(node, record) for _ in range(CONNECTIONS))
-        )
-        late = [item for item in durations if item is None or item > TIMEOUT_S]
-        later = [item for item in late if item is None or item > TIMEOUT_S + SLACK_S]
-        record.write(
-            f"{len(durations)} requests, {len(late)} unanswered at their TimeoutS,"
-            f" {len(later)} half a second later"
-        )
-        return len(later) * 2 <= len(late)
+    """Look for requests that were passed on to the server and whose connection was closed."""
+    async with running_site(record, ZONES, work) as site:
+        await site.wait_served("GET", "/view/0")
+        first, second = site.nodes[:2]
+        watch = asyncio.create_task(site.watch_readiness())
+        await asyncio.sleep(SIGTERM_AFTER_S)
+        until = time.monotonic() + PLAY_S
+        consumers = [
+            asyncio.create_task(consume(site, node, until))
+            for node in (first, second)
+            for _ in range(CONSUMERS)
+        ]
+        await asyncio.sleep(SIGTERM_AFTER_S)
+        if trouble():
+            first.send_signal(signal.SIGTERM)
+            await asyncio.sleep(GAP_S)
+            second.send_signal(signal.SIGTERM)
+            for node in (first, second):
+                record.write(f"exit code of {node.name}: {await node.wait_exit(GRACE_S)}")
+                node.start()
+        unanswered = {item for ids in await asyncio.gather(*consumers) for item in ids}
+        watch.cancel()
+        ran = {request.request_id for server in site.servers for request in server.ran}
+        lost = unanswered & ran
+        record.write(f"passed on and never answered: {' '.join(sorted(lost)) or 'none'}")
+        return not lost
 
 
 run_case(Path(__file__).resolve().parent, play)
--- a/review/harness.py
+++ b/review/harness.py
@@ -224,9 +224,7 @@
 Work = Callable[["Server", Request, asyncio.StreamWriter], Awaitable[None]]
 
 
-async def answer_at_once(
-    server: Server, request: Request, writer: asyncio.StreamWriter
-) -> None:
+async def answer_at_once(server: Server, request: Request, writer: asyncio.StreamWriter) -> None:
     """Run a request and answer it with 200."""
     writer.write(encode_answer(request.request_id, 200, b"done"))
 
@@ -424,10 +422,9 @@
     async def wait_exit(self, timeout_s: float) -> int | None:
         """Wait for the end of the process and return its exit code; None after the timeout."""
         assert self.process is not None
-        deadline = time.monotonic() + timeout_s
-        while self.process.poll() is None and time.monotonic() < deadline:
-            await asyncio.sleep(0.01)
-        return self.process.poll()
+        with contextlib.suppress(subprocess.TimeoutExpired):
+            return await asyncio.to_thread(self.process.wait, timeout_s)
+        return None
 
     def close(self) -> None:
         """Kill the process if it still runs."""
