--- a/review/harness.py
+++ b/review/harness.py
@@ -37,6 +37,8 @@
 HEARTBEAT_S = 1.5
 CONSUMER_TIMEOUT_MS = 1200
 READY_TIMEOUT_S = 20.0
+# `ContactS`: a machine is in touch once its processes have run undisturbed for this time.
+CONTACT_S = 4.0
 EXIT_HELD, EXIT_BROKEN, EXIT_NOT_RUN = 0, 1, 2
 
 HOST = "shop.example"
@@ -562,6 +564,7 @@
                 await server.start()
             for node in nodes:
                 await node.wait_ready()
+            await asyncio.sleep(CONTACT_S)
             yield Site(store, nodes, servers, record)
         finally:
             for node in nodes:
