--- a/review/harness.py
+++ b/review/harness.py
@@ -253,6 +253,7 @@
     zone: str
     work: Work = answer_at_once
     service: str = SERVICE
+    number: int = 0
     instance_id: str = field(default_factory=lambda: f"i-{new_id()}")
     state: str = "ready"
     ran: list[Request] = field(default_factory=list)
@@ -555,7 +556,8 @@
             )
         ]
         servers = [
-            Server(node.app, node.control, record, node.zone, work, node.service) for node in nodes
+            Server(node.app, node.control, record, node.zone, work, node.service, number)
+            for number, node in enumerate(nodes)
         ]
         try:
             for node in nodes:
@@ -588,12 +590,16 @@
     record.write("with the disruption" if trouble() else "without the disruption")
 
     async def play_within_time() -> bool:
+        task = asyncio.current_task()
+        assert task is not None
+        # The processes of the case end with the script, also if it is told to stop.
+        asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)
         async with asyncio.timeout(110):
             return await play(record)
 
     try:
         held = asyncio.run(play_within_time())
-    except Exception:
+    except (Exception, asyncio.CancelledError, KeyboardInterrupt):
         record.write(f"could not run: {traceback.format_exc()}")
         sys.exit(EXIT_NOT_RUN)
     record.write("the rule held" if held else "the rule was broken")
