Count and log the requests whose connection the node closes

The node now logs requests_cut with the reason and the number of requests, and counts them in jaypost_requests_cut_total. A caller that leaves is not counted.

No behaviour changes.

--- a/jaypost/connections.py
+++ b/jaypost/connections.py
@@ -6,9 +6,10 @@
 import socket
 import struct
 from abc import ABC, abstractmethod
-from collections import deque
+from collections import Counter, deque
 from collections.abc import Callable
 from dataclasses import dataclass, replace
+from enum import StrEnum
 from http import HTTPStatus
 from typing import cast
 
@@ -52,6 +53,14 @@
 UNREADABLE_REQUEST = RequestHead("", "", {}, [], keep_alive=False)
 
 
+class CutReason(StrEnum):
+    """Why the node closed a connection of a caller before all its requests were answered."""
+
+    RESPONSE_CLOSES = "response_closes"
+    RESPONSE_ABORTED = "response_aborted"
+    STOPPED = "stopped"
+
+
 class Responder(ABC):
     """Sends the response of a call; `flush` writes its parts to the socket."""
 
@@ -162,6 +171,7 @@
     __slots__ = (
         "_closing",
         "_codec",
+        "_cut_reason",
         "_deferred_events",
         "_exchanges",
         "_handlers",
@@ -189,6 +199,8 @@
         self._deferred_events: list[Event] = []
         self._closing = False
         self._lingering = False
+        # Set when the node closes the connection; None while only its other side may do so.
+        self._cut_reason: CutReason | None = None
         self._rate_timer: asyncio.TimerHandle | None = None
         self._received_bytes = 0
         self._received_bytes_at_check = 0
@@ -330,6 +342,8 @@
     def _cancel_exchanges(self) -> None:
         exchanges, self._exchanges = self._exchanges, deque()
         self._reading_exchange = None
+        if exchanges and self._cut_reason is not None:
+            self._server.requests_cut(self._cut_reason, len(exchanges))
         for exchange in exchanges:
             exchange.disconnect()
 
@@ -434,6 +448,7 @@
             self._server.connection_idle(self)
 
     def _close_after_response(self) -> None:
+        self._cut_reason = CutReason.RESPONSE_CLOSES
         self._cancel_exchanges()
         self._deferred_events.clear()
         self._linger()
@@ -444,6 +459,7 @@
         if transport is None:
             return
         self._closing = True
+        self._cut_reason = CutReason.RESPONSE_ABORTED
         if self._codec.unframed:
             # Without a length or chunks, only a reset shows that the response is truncated.
             sock = transport.get_extra_info("socket")
@@ -478,6 +494,7 @@
 
     def close(self) -> None:
         """Close the connection; calls in flight are cancelled."""
+        self._cut_reason = CutReason.STOPPED
         if self._transport is not None:
             self._transport.abort()
 
@@ -677,6 +694,8 @@
         self._server: asyncio.Server | None = None
         self._no_connections = asyncio.Event()
         self.connections: set[ServerConnection] = set()
+        # Requests on connections that the node closed before it had answered them.
+        self.cut_by_reason: Counter[CutReason] = Counter()
         # Connections without a request in progress, the longest idle first.
         self._idle: dict[ServerConnection, None] = {}
         self.draining = False
@@ -763,6 +782,11 @@
         if not self.connections:
             self._no_connections.set()
 
+    def requests_cut(self, reason: CutReason, count: int) -> None:
+        """Count and log requests whose connection the node closes before it has answered them."""
+        self.cut_by_reason[reason] += count
+        log.warning(EventName.REQUESTS_CUT, reason=reason, requests=count, draining=self.draining)
+
     async def close(self) -> None:
         """Close the listening socket and all connections."""
         self.stop_listening()
--- a/jaypost/daemon.py
+++ b/jaypost/daemon.py
@@ -463,6 +463,8 @@
         metrics.nodes_changed(count_by_state | Counter(unreachable=len(self._unreachable_ids)))
         for key, count in self.gossip.byte_counts.items():
             metrics.control_bytes(key.kind, key.link, key.direction, count)
+        cut = self.ingress.cut_by_reason.items()
+        metrics.requests_cut({reason.value: count for reason, count in cut})
         metrics.loads_changed(
             (target.service, self.egress.admission.load(target.target_id))
             for target in self.announcements.targets
--- a/jaypost/ingress.py
+++ b/jaypost/ingress.py
@@ -48,6 +48,7 @@
 from jaypost.connections import (
     CallServer,
     ConnectionHandlers,
+    CutReason,
     IncomingCall,
     InFlight,
     Responder,
@@ -1079,6 +1080,11 @@
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
+    @property
+    def cut_by_reason(self) -> Mapping[CutReason, int]:
+        """Requests of callers whose connection the node closed before it answered them."""
+        return self._server.cut_by_reason
+
     def note_rate(self, target_id: str, rate: bytes | None) -> None:
         """Note the rate that a target names in a response, None if it names none."""
         if rate is None:
--- a/jaypost/metrics.py
+++ b/jaypost/metrics.py
@@ -152,6 +152,9 @@
             "retries_total", "Attempts after the first, including hedged ones"
         )
         self._hedges = self._counter("hedges_total", "Hedged attempts")
+        self._requests_cut = self._counter(
+            "requests_cut_total", "Requests on connections that were closed without their answers"
+        )
         self._queued_requests = self._gauge("queued_requests", "Requests that wait for a slot")
         self._busy_slots = self._gauge("busy_slots", "Slots in use")
         self._slots = self._gauge("slots", "Slots of the targets of the host")
@@ -208,6 +211,11 @@
         """Count a hedged attempt."""
         self._hedges.inc(self._labels(service=service))
 
+    def requests_cut(self, count_by_reason: Mapping[str, int]) -> None:
+        """Set the requests that were on connections which the node closed, since its start."""
+        for reason, count in count_by_reason.items():
+            self._requests_cut.set(self._labels(reason=reason), count)
+
     def loads_changed(self, loads: Iterable[tuple[str, Load]]) -> None:
         """Set slots, busy slots and queued requests from the service and load of local targets."""
         busy: Counter[str] = Counter()
