Close a connection only after all requests that were passed on

Cause: a close that is decided at one response and ends others at work (ServerConnection.will_close).

A connection closes after the response of its last request, which alone announces it. Nothing is started behind a response that has announced the close, nor behind a request of HTTP/1.0, whose response may have no length. P8_response_cuts_others asserts it.

--- a/jaypost/connections.py
+++ b/jaypost/connections.py
@@ -300,11 +300,18 @@
         """Tell whether a request may start before the earlier requests are answered.
 
         If an earlier response closes the connection, the caller sends the later request again on a
-        new connection. So only requests that may be executed twice start early.
+        new connection. So no request starts behind one whose response closes the connection, and
+        only those start early that may be executed twice, because a response can be cut short.
         """
         if len(self._exchanges) >= MAX_CONCURRENT_REQUESTS or head.has_body:
             return False
-        if not all(item.request_head.keep_alive for item in self._exchanges):
+        if self._codec.closing:
+            return False
+        # The response to an HTTP/1.0 request closes the connection if it has no length.
+        if any(
+            item.request_head.http_1_0 or not item.request_head.keep_alive
+            for item in self._exchanges
+        ):
             return False
         return self._handlers.may_execute_concurrently(head)
 
@@ -379,17 +386,19 @@
         """Tell whether the response of `exchange` is the next one on the connection."""
         return bool(self._exchanges) and self._exchanges[0] is exchange
 
-    @property
-    def will_close(self) -> bool:
-        """Whether the connection closes after the next response."""
-        return self._closing or self._server.draining
+    def _closes_after(self, exchange: _ServerExchange) -> bool:
+        """Tell whether the connection closes after the response of `exchange`.
 
-    def encode(self, part: _ResponsePart, request: RequestHead | None) -> bytes:
-        """Encode a part of the next response on the connection."""
+        The requests behind it were passed on when they arrived, so their responses come first.
+        """
+        return (self._closing or self._server.draining) and exchange is self._exchanges[-1]
+
+    def encode(self, part: _ResponsePart, exchange: _ServerExchange) -> bytes:
+        """Encode a part of the response of `exchange`, which is the next one on the connection."""
         if isinstance(part, ResponseHead):
-            if self.will_close:
+            if self._closes_after(exchange):
                 part = replace(part, keep_alive=False)
-            return self._codec.encode_response(part, request)
+            return self._codec.encode_response(part, exchange.readable_request_head)
         return self._codec.encode_body(part) if part is not None else self._codec.encode_end()
 
     def write(self, data: bytes) -> None:
@@ -449,6 +458,7 @@
 
     def _close_after_response(self) -> None:
         self._cut_reason = CutReason.RESPONSE_CLOSES
+        check(not self._exchanges, "P8_response_cuts_others", requests=len(self._exchanges))
         self._cancel_exchanges()
         self._deferred_events.clear()
         self._linger()
@@ -582,7 +592,7 @@
             Whether the response was aborted, which closes the connection.
         """
         for part in self._waiting_parts:
-            self._encoded_parts.append(self._connection.encode(part, self._request()))
+            self._encoded_parts.append(self._connection.encode(part, self))
         self._waiting_parts.clear()
         self._waiting_bytes = 0
         self._write_encoded_parts()
@@ -638,13 +648,14 @@
         """Resume reading from the connection."""
         self._connection.set_reading(True)
 
-    def _request(self) -> RequestHead | None:
-        """Return the head of the request, or None if it could not be decoded."""
+    @property
+    def readable_request_head(self) -> RequestHead | None:
+        """Head of the request, or None if it could not be decoded."""
         return None if self.request_head is UNREADABLE_REQUEST else self.request_head
 
     def _add_part(self, part: _ResponsePart) -> None:
         if self._connection.is_first(self) and not self._waiting_parts:
-            self._encoded_parts.append(self._connection.encode(part, self._request()))
+            self._encoded_parts.append(self._connection.encode(part, self))
             return
         self._waiting_parts.append(part)
         if isinstance(part, bytes):
--- a/tests/link_fakes.py
+++ b/tests/link_fakes.py
@@ -68,6 +68,13 @@
             raise RuntimeError("the transport is closed")
         self.calls.append("write_eof")
 
+    def can_write_eof(self) -> bool:
+        return True
+
+    def is_reading(self) -> bool:
+        changes = [call for call in self.calls if call in ("pause_reading", "resume_reading")]
+        return changes[-1:] != ["pause_reading"]
+
     def pause_reading(self) -> None:
         self.calls.append("pause_reading")
 
--- a/tests/test_server_connections.py
+++ b/tests/test_server_connections.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 from dataclasses import dataclass, field
 
 import pytest
@@ -9,6 +10,7 @@
 from jaypost.calls import error_response
 from jaypost.codecs import RequestHead, ResponseHead
 from jaypost.connections import (
+    MAX_CONCURRENT_REQUESTS,
     CallServer,
     ConnectionHandlers,
     CutReason,
@@ -80,14 +82,14 @@
     calls: list[RecordedCall] = field(default_factory=list)
 
     def __post_init__(self) -> None:
-        settings = node_settings(http_codec=self.codec, node_id="node-0")
+        self.settings = node_settings(http_codec=self.codec, node_id="node-0", slow_body_s=0.2)
         handlers = ConnectionHandlers(
             self._open_call,
             lambda kind: error_response(kind, b""),
             lambda head: head.method == "GET",
         )
-        self.server = CallServer(settings, Address("127.0.0.1", 0), handlers, Uplink())
-        self.connection = ServerConnection(settings, self.server, handlers)
+        self.server = CallServer(self.settings, Address("127.0.0.1", 0), handlers, Uplink())
+        self.connection = ServerConnection(self.settings, self.server, handlers)
         self.transport = FakeTransport(SimulatedClock())
         self.connection.connection_made(self.transport)
 
@@ -141,3 +143,98 @@
     opened.connection.connection_lost(None)
     assert opened.calls[0].disconnected
     assert not opened.server.cut_by_reason
+
+
+# What makes the connection close after the requests that were already passed on. Each value is the
+# input that follows them; a drain needs none.
+CLOSE_CAUSES = {
+    "drain": b"",
+    "malformed request": b"nonsense\r\n\r\n",
+    "bad header": b"GET / HTTP/1.1\r\nhost: a\r\nhost: b\r\n\r\n",
+    "large head": b"GET / HTTP/1.1\r\nx: " + b"x" * 100_000,
+    "slow head": b"GET / HT",
+}
+
+
+async def start_close(opened: OpenConnection, cause: str) -> None:
+    """Let the connection learn that it is to close."""
+    if cause == "drain":
+        opened.server.draining = True
+    else:
+        opened.connection.data_received(CLOSE_CAUSES[cause])
+    if cause == "slow head":
+        await asyncio.sleep(2 * opened.settings.slow_body_s)
+
+
+@pytest.mark.parametrize("codec", CODECS)
+@pytest.mark.parametrize("cause", CLOSE_CAUSES)
+@pytest.mark.parametrize("count", [1, 2, 3, MAX_CONCURRENT_REQUESTS])
+@pytest.mark.parametrize("answered_before", [0, 1])
+@pytest.mark.parametrize("reverse", [False, True], ids=["in order", "last first"])
+@pytest.mark.parametrize("with_length", [True, False], ids=["length", "chunks"])
+async def test_requests_that_were_passed_on_are_answered_before_the_connection_closes(
+    codec: str, cause: str, count: int, answered_before: int, reverse: bool, with_length: bool
+) -> None:
+    """Guards against a response that closes the connection of requests that targets run (LOST)."""
+    opened = OpenConnection(codec)
+    for number in range(count):
+        opened.request(number)
+    calls = list(opened.calls)
+    for call in calls[:answered_before]:
+        call.answer(b"early", with_length)
+    calls = opened.calls[answered_before:]
+    await start_close(opened, cause)
+    for call in reversed(calls) if reverse else calls:
+        assert not opened.closed
+        call.answer(f"answer to {call.head.target};".encode(), with_length)
+    assert not any(call.disconnected for call in calls)
+    expected = [f"answer to {call.head.target};".encode() for call in calls]
+    places = [opened.transport.data.find(body) for body in expected]
+    assert -1 not in places and places == sorted(places)
+    assert opened.closed or not calls
+    assert opened.announced_closes <= 1
+    assert not opened.server.cut_by_reason
+    assert opened.opened == [f"/{number}" for number in range(len(opened.calls))]
+
+
+@pytest.mark.parametrize("codec", CODECS)
+@pytest.mark.parametrize("method", ["GET", "POST"])
+async def test_request_behind_a_response_that_announces_the_close_is_not_passed_on(
+    codec: str, method: str
+) -> None:
+    """Guards against a request that runs although its caller counts it as not read."""
+    opened = OpenConnection(codec)
+    opened.request(0)
+    opened.server.draining = True
+    opened.calls[0].send_head(None)
+    assert opened.announced_closes == 1
+    opened.request(1, method)
+    opened.calls[0].send_rest(b"body")
+    assert opened.opened == ["/0"]
+    assert opened.closed
+    assert not opened.server.cut_by_reason
+
+
+@pytest.mark.parametrize("codec", CODECS)
+async def test_request_behind_one_of_http_1_0_is_not_passed_on_early(codec: str) -> None:
+    """Guards against a response without a length that ends the requests behind it (LOST)."""
+    opened = OpenConnection(codec)
+    head = "GET /{} HTTP/1.0\r\nhost: orders\r\nconnection: keep-alive\r\n\r\n"
+    for number in range(2):
+        opened.connection.data_received(head.format(number).encode())
+    assert opened.opened == ["/0"]
+    opened.calls[0].answer(b"body", with_length=False)
+    assert (opened.opened, opened.closed) == (["/0"], True)
+    assert not opened.server.cut_by_reason
+
+
+@pytest.mark.parametrize("codec", CODECS)
+async def test_request_that_must_wait_is_left_to_its_caller_in_a_drain(codec: str) -> None:
+    """Guards against a drain that passes on a request behind the last one that it answers."""
+    opened = OpenConnection(codec)
+    opened.request(0)
+    opened.request(1, "POST")
+    opened.server.draining = True
+    opened.calls[0].answer(b"body")
+    assert opened.opened == ["/0"]
+    assert (opened.announced_closes, opened.closed) == (1, True)
