Do not complete a request that lost a part of its body

Ingress and egress now compare at the end of a request that was passed on in parts what they received with what they passed on (P11_whole_body). If bytes are missing, the end is not sent, so that no target runs the request, and the caller gets outcome_unknown.

--- a/jaypost/egress.py
+++ b/jaypost/egress.py
@@ -94,6 +94,7 @@
 
     __slots__ = (
         "_admitted_at",
+        "_body_bytes",
         "_body_chunks",
         "_body_complete",
         "_call_class",
@@ -134,6 +135,7 @@
         # Whether the call asks for a slot before its body is read, because the body is large or its
         # length is unknown, or the sender waits for ``100 Continue``.
         self._streaming = False
+        self._body_bytes = 0
         self._body_chunks: list[bytes] = []
         self._body_complete = False
         self._exchange: PooledExchange | None = None
@@ -309,6 +311,9 @@
 
     def on_body(self, data: bytes) -> None:
         """Buffer or forward a part of the request body."""
+        if self._done:
+            return
+        self._body_bytes += len(data)
         if not self._streaming or self._exchange is None or not self._exchange.reached:
             self._body_chunks.append(data)
         else:
@@ -322,7 +327,21 @@
         if not self._streaming:
             self._ask_for_slot()
         elif self._exchange is not None and self._exchange.reached:
-            self._exchange.send_end()
+            self._complete_request(self._exchange)
+
+    def _complete_request(self, exchange: PooledExchange) -> None:
+        """Send the end of a forwarded request, unless a part of its body is missing."""
+        if check(
+            exchange.sent_body_bytes == self._body_bytes,
+            "P11_whole_body",
+            side="egress",
+            received=self._body_bytes,
+            passed_on=exchange.sent_body_bytes,
+        ):
+            exchange.send_end()
+            return
+        exchange.cancel()
+        self._fail(ErrorKind.OUTCOME_UNKNOWN)
 
     def on_request_head_sent(self) -> None:
         """Send the buffered part of the body, then let the sender continue."""
@@ -332,7 +351,7 @@
             self._exchange.send_body(data)
         self._body_chunks.clear()
         if self._body_complete:
-            self._exchange.send_end()
+            self._complete_request(self._exchange)
             return
         if self._head.expect_continue:
             self._responder.send_continue()
--- a/jaypost/ingress.py
+++ b/jaypost/ingress.py
@@ -393,13 +393,13 @@
         """Buffer a part of the request body, or forward it if a target has asked for the body."""
         if self._done:
             return
+        self._body_bytes += len(data)
         if self._forwarding_body:
             for attempt in self._live_attempts:
                 assert attempt.exchange is not None
                 attempt.exchange.send_body(data)
             return
         self._body_chunks.append(data)
-        self._body_bytes += len(data)
         if not self._streaming and self._body_bytes > self._ingress.settings.buffered_body_bytes:
             self._start_streaming()
 
@@ -411,9 +411,25 @@
         if not self._streaming:
             self._start_first_attempt()
         elif self._forwarding_body:
-            for attempt in self._live_attempts:
-                assert attempt.exchange is not None
-                attempt.exchange.send_end()
+            for attempt in tuple(self._live_attempts):
+                self._complete_request(attempt)
+
+    def _complete_request(self, attempt: Attempt) -> None:
+        """Send the end of a forwarded request, unless a part of its body is missing."""
+        exchange = attempt.exchange
+        assert exchange is not None
+        if check(
+            exchange.sent_body_bytes == self._body_bytes,
+            "P11_whole_body",
+            side="ingress",
+            received=self._body_bytes,
+            passed_on=exchange.sent_body_bytes,
+        ):
+            exchange.send_end()
+            return
+        exchange.cancel()
+        failure = AttemptFailure(ErrorKind.OUTCOME_UNKNOWN, 0, True, True, None, True)
+        self.on_attempt_failed(attempt, failure)
 
     def _start_streaming(self) -> None:
         self._streaming = True
@@ -430,7 +446,7 @@
             attempt.exchange.send_body(data)
         self._body_chunks.clear()
         if self._body_complete:
-            attempt.exchange.send_end()
+            self._complete_request(attempt)
             return
         if self._head.expect_continue:
             self._responder.send_continue()
--- a/jaypost/local_exchange.py
+++ b/jaypost/local_exchange.py
@@ -26,7 +26,16 @@
         Receives the response.
     """
 
-    __slots__ = ("_body", "_call", "_complete", "_egress", "_head", "_reached", "_responder")
+    __slots__ = (
+        "_body",
+        "_call",
+        "_complete",
+        "_egress",
+        "_head",
+        "_reached",
+        "_responder",
+        "sent_body_bytes",
+    )
 
     def __init__(
         self, egress: Egress, head: RequestHead, body: bytes, complete: bool, receiver: Receiver
@@ -38,6 +47,7 @@
         self._responder = _LocalResponder(receiver)
         self._call: IncomingCall | None = None
         self._reached = False
+        self.sent_body_bytes = 0
 
     def start(self) -> None:
         """Begin the call; the response may arrive before this method returns."""
@@ -45,7 +55,7 @@
         self._call = call = self._egress.open_call(self._responder, self._head)
         if self._complete and self._responder.receiver is not None:
             if self._body:
-                call.on_body(self._body)
+                self.send_body(self._body)
             call.on_body_end()
 
     @property
@@ -57,6 +67,7 @@
         """Send a part of the request body."""
         if self._call is not None:
             self._call.on_body(data)
+            self.sent_body_bytes += len(data)
 
     def send_end(self) -> None:
         """Complete the request."""
--- a/jaypost/pools.py
+++ b/jaypost/pools.py
@@ -103,10 +103,18 @@
 
 
 class Exchange(ABC):
-    """A request in progress, as its sender controls it."""
+    """A request in progress, as its sender controls it.
+
+    Attributes
+    ----------
+    sent_body_bytes : int
+        Bytes of the request body that were passed on to the other side.
+    """
 
     __slots__ = ()
 
+    sent_body_bytes: int
+
     @abstractmethod
     def send_body(self, data: bytes) -> None:
         """Send a part of the request body."""
@@ -161,6 +169,7 @@
         "pool",
         "receiver",
         "sent_at",
+        "sent_body_bytes",
     )
 
     def __init__(
@@ -179,6 +188,7 @@
         self.connection: ClientConnection | None = None
         self.pool: ConnectionPool | None = None
         self.sent_at: float | None = None
+        self.sent_body_bytes = 0
         self.paused = False
         self.cancelled = False
 
@@ -355,6 +365,7 @@
         data = self._codec.encode_request(exchange.head)
         if exchange.body:
             data += self._codec.encode_body(exchange.body)
+            exchange.sent_body_bytes += len(exchange.body)
         if exchange.complete:
             data += self._codec.encode_end()
         self._transport.write(data)
@@ -364,8 +375,9 @@
 
     def send_body(self, data: bytes) -> None:
         """Write a part of the body."""
-        if self._transport is not None:
+        if self._transport is not None and self._exchange is not None:
             self._transport.write(self._codec.encode_body(data))
+            self._exchange.sent_body_bytes += len(data)
 
     def send_end(self) -> None:
         """Write the end of the request."""
