Begin a call only after its owner has kept it

Cause: a message dropped because its receiver is not set yet. open_call created a call and began it at once. With a free slot and an idle connection, the call asks for the body while it begins; the ingress answered with what it had buffered, and LocalExchange dropped it, because it had no call yet.

open_call now returns the call, and its owner begins it. The connections of callers had the same order of steps and are changed as well.

--- a/jaypost/connections.py
+++ b/jaypost/connections.py
@@ -108,10 +108,18 @@
 
 
 class IncomingCall(ABC):
-    """Receives the request of one call and the events of its connection."""
+    """Receives the request of one call and the events of its connection.
+
+    The owner of a call keeps it before it calls `begin`, because the call may ask its responder for
+    the body, or pause it, while it begins.
+    """
 
     __slots__ = ()
 
+    @abstractmethod
+    def begin(self) -> None:
+        """Start the call; it may send the whole response before this returns."""
+
     @abstractmethod
     def on_body(self, data: bytes) -> None:
         """Receive a part of the request body."""
@@ -144,8 +152,7 @@
     Parameters
     ----------
     open_call : callable
-        Returns the call for a `Responder` and a request head. It may send the whole response
-        before it returns.
+        Returns the call for a `Responder` and a request head. The connection begins it.
     refuse : callable
         Returns the response for an error kind, after input that is not a valid request.
     may_execute_concurrently : callable
@@ -324,9 +331,8 @@
             exchange.send_end()
             exchange.flush()
             return
-        call = self._handlers.open_call(exchange, head)
-        if not exchange.is_ended:
-            exchange.call = call
+        exchange.call = call = self._handlers.open_call(exchange, head)
+        call.begin()
 
     def _dispatch_deferred(self, transport: asyncio.Transport) -> None:
         events, self._deferred_events = self._deferred_events, []
--- a/jaypost/egress.py
+++ b/jaypost/egress.py
@@ -149,6 +149,7 @@
 
     def begin(self) -> None:
         """Check the head and ask for a slot; a small body is read first."""
+        self._egress.in_flight.enter()
         kind = self._check_head()
         if kind is not None:
             self._refuse(kind)
@@ -818,11 +819,8 @@
         return now < self._drain_delay_end_by_id.get(target_id, float("inf")) + DRAIN_TIMER_SLACK_S
 
     def open_call(self, responder: Responder, head: RequestHead) -> IncomingCall:
-        """Begin a call of a peer, or of the ingress of this node."""
-        call = EgressCall(self, responder, head)
-        self.in_flight.enter()
-        call.begin()
-        return call
+        """Return a call of a peer, or of the ingress of this node; its owner begins it."""
+        return EgressCall(self, responder, head)
 
     def may_outlast_drain(self, deadline: float) -> bool:
         """Tell whether a call that starts now may be cut off at the end of a drain.
--- a/jaypost/ingress.py
+++ b/jaypost/ingress.py
@@ -317,6 +317,7 @@
 
     def begin(self) -> None:
         """Check the head and start the deadline timer; a small body is read before any attempt."""
+        self._ingress.in_flight.enter()
         kind = self._check_head()
         if kind is not None:
             self._fail(kind)
@@ -1075,11 +1076,8 @@
         return await self._server.start()
 
     def open_call(self, responder: Responder, head: RequestHead) -> IncomingCall:
-        """Begin a call of a caller."""
-        call = IngressCall(self, responder, head)
-        self.in_flight.enter()
-        call.begin()
-        return call
+        """Return a call of a caller, which its connection begins."""
+        return IngressCall(self, responder, head)
 
     def may_execute_concurrently(self, head: RequestHead) -> bool:
         """Tell whether a request may start before earlier ones of its connection are answered."""
--- a/jaypost/local_exchange.py
+++ b/jaypost/local_exchange.py
@@ -53,6 +53,7 @@
         """Begin the call; the response may arrive before this method returns."""
         self._reached = True
         self._call = call = self._egress.open_call(self._responder, self._head)
+        call.begin()
         if self._complete and self._responder.receiver is not None:
             if self._body:
                 self.send_body(self._body)
--- a/tests/request_path/test_request_bodies.py
+++ b/tests/request_path/test_request_bodies.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import itertools
+import random
 
 import pytest
 
@@ -11,6 +12,7 @@
 from jaypost.local_exchange import LocalExchange
 from jaypost.pools import ClientConnection
 from tests.harness import RawClient, Reply, running_mesh
+from tests.request_path.memory_loop import MemoryLoop
 
 CODECS = ("httptools", "h11")
 # Where the target of the request is: beside the caller's node, which calls its own egress directly
@@ -63,3 +65,33 @@
         assert invariants.violations_by_rule["P11_whole_body"] == violations + 1
         assert mesh.nodes[0].targets[0].journal == []
         await client.close()
+
+
+@pytest.mark.parametrize("codec", CODECS)
+@pytest.mark.parametrize("place", PLACES)
+@pytest.mark.parametrize("size", SIZES)
+@pytest.mark.parametrize("chunk_bytes", CHUNKS)
+@pytest.mark.parametrize("warm", [True, False], ids=["idle connection", "new connection"])
+@pytest.mark.parametrize("max_read_bytes", [0, 3_000], ids=["large reads", "small reads"])
+async def test_target_gets_the_whole_body(
+    loop: MemoryLoop,
+    codec: str,
+    place: str,
+    size: int,
+    chunk_bytes: int,
+    warm: bool,
+    max_read_bytes: int,
+) -> None:
+    """Guards against a request that runs without a part of its body (UNASKED)."""
+    targets, local = PLACES[place]
+    body = random.Random(size).randbytes(size)
+    async with running_mesh(codec, targets, local=local) as mesh:
+        if warm:
+            client = await mesh.client()
+            assert (await echo(client, b"", 0, "warm")).status == 200
+            await client.close()
+        loop.max_read_bytes = max_read_bytes
+        client = await mesh.client()
+        reply = await echo(client, body, chunk_bytes, "a")
+        assert (reply.status, reply.body == body) == (200, True)
+        await client.close()
--- a/tests/test_server_connections.py
+++ b/tests/test_server_connections.py
@@ -41,6 +41,9 @@
     head: RequestHead
     disconnected: bool = False
 
+    def begin(self) -> None:
+        pass
+
     def answer(self, body: bytes, with_length: bool = True) -> None:
         """Send a whole response."""
         self.send_head(len(body) if with_length else None)
