Show how many bytes of responses a node holds, and what they wait for

Another operator reports a server that sent without end and filled the memory of the machine that had called it.

jaypost_buffered_response_bytes shows them by place: waiting for the link, for the socket, or for an earlier response of the connection.

No behaviour changes.

--- a/jaypost/connections.py
+++ b/jaypost/connections.py
@@ -53,6 +53,14 @@
 UNREADABLE_REQUEST = RequestHead("", "", {}, [], keep_alive=False)
 
 
+class BufferPlace(StrEnum):
+    """What the buffered part of a response waits for."""
+
+    LINK = "link"
+    SOCKET = "socket"
+    EARLIER_RESPONSE = "earlier_response"
+
+
 class CutReason(StrEnum):
     """Why the node closed a connection of a caller before all its requests were answered."""
 
@@ -416,6 +424,16 @@
         """Send ``100 Continue``, which asks for the body of the request."""
         self.write(self._codec.encode_continue())
 
+    @property
+    def write_buffer_bytes(self) -> int:
+        """Bytes that the socket has not taken yet, without those that wait for the link."""
+        return self._transport.get_write_buffer_size() if self._transport is not None else 0
+
+    @property
+    def waiting_response_bytes(self) -> int:
+        """Bytes of responses that wait for the earlier responses of the connection."""
+        return sum(exchange.waiting_bytes for exchange in self._exchanges)
+
     def set_reading(self, reading: bool) -> None:
         """Resume or pause reading from the socket."""
         if self._transport is None:
@@ -530,12 +548,12 @@
         "_connection",
         "_encoded_parts",
         "_paused",
-        "_waiting_bytes",
         "_waiting_parts",
         "call",
         "is_ended",
         "request_done",
         "request_head",
+        "waiting_bytes",
     )
 
     request_head: RequestHead
@@ -552,7 +570,7 @@
         self._paused = False
         self._encoded_parts: list[bytes] = []
         self._waiting_parts: list[_ResponsePart] = []
-        self._waiting_bytes = 0
+        self.waiting_bytes = 0
 
     # calls from the connection
 
@@ -600,7 +618,7 @@
         for part in self._waiting_parts:
             self._encoded_parts.append(self._connection.encode(part, self))
         self._waiting_parts.clear()
-        self._waiting_bytes = 0
+        self.waiting_bytes = 0
         self._write_encoded_parts()
         if self._aborted:
             self._connection.abort()
@@ -617,7 +635,7 @@
         if not check(not self.is_ended, "P4_body_after_end", size=len(data)):
             return
         self._add_part(data)
-        if self._waiting_bytes > MAX_WAITING_RESPONSE_BYTES:
+        if self.waiting_bytes > MAX_WAITING_RESPONSE_BYTES:
             self.pause_call()
 
     def send_end(self) -> None:
@@ -665,7 +683,7 @@
             return
         self._waiting_parts.append(part)
         if isinstance(part, bytes):
-            self._waiting_bytes += len(part)
+            self.waiting_bytes += len(part)
 
     def _write_encoded_parts(self) -> None:
         if self._encoded_parts:
@@ -799,6 +817,15 @@
         if not self.connections:
             self._no_connections.set()
 
+    def buffered_bytes(self) -> dict[BufferPlace, int]:
+        """Return the bytes of responses that the connections hold, by place."""
+        return {
+            BufferPlace.SOCKET: sum(item.write_buffer_bytes for item in self.connections),
+            BufferPlace.EARLIER_RESPONSE: sum(
+                item.waiting_response_bytes for item in self.connections
+            ),
+        }
+
     def requests_cut(self, reason: CutReason, count: int) -> None:
         """Count and log requests whose connection the node closes before it has answered them."""
         self.cut_by_reason[reason] += count
--- a/jaypost/daemon.py
+++ b/jaypost/daemon.py
@@ -33,6 +33,7 @@
 from jaypost.calls import CallEnded
 from jaypost.claims import Claims
 from jaypost.config import ConfigHolder, RefusedVersion, Stale
+from jaypost.connections import BufferPlace
 from jaypost.departures import Departures
 from jaypost.egress import Egress
 from jaypost.events import EventLog
@@ -465,6 +466,9 @@
             metrics.control_bytes(key.kind, key.link, key.direction, count)
         cut = self.ingress.cut_by_reason.items()
         metrics.requests_cut({reason.value: count for reason, count in cut})
+        buffers = Counter(self.ingress.buffered_bytes()) + Counter(self.egress.buffered_bytes())
+        buffers[BufferPlace.LINK] = self.uplink.queued_bytes
+        metrics.buffers_changed({place.value: buffers[place] for place in BufferPlace})
         metrics.loads_changed(
             (target.service, self.egress.admission.load(target.target_id))
             for target in self.announcements.targets
--- a/jaypost/egress.py
+++ b/jaypost/egress.py
@@ -57,6 +57,7 @@
 )
 from jaypost.codecs import HeaderDialect, RequestHead, ResponseHead
 from jaypost.connections import (
+    BufferPlace,
     CallServer,
     ConnectionHandlers,
     IncomingCall,
@@ -734,6 +735,10 @@
         await self.pool.start()
         return await self._server.start()
 
+    def buffered_bytes(self) -> dict[BufferPlace, int]:
+        """Return the bytes of responses that the connections hold, by place."""
+        return self._server.buffered_bytes()
+
     def set_targets(self, targets: tuple[Target, ...]) -> None:
         """Replace the targets of the host.
 
--- a/jaypost/ingress.py
+++ b/jaypost/ingress.py
@@ -46,6 +46,7 @@
 from jaypost.claims import Claimed, ClaimOutcome, Duplicate
 from jaypost.codecs import HeaderDialect, RequestHead, ResponseHead
 from jaypost.connections import (
+    BufferPlace,
     CallServer,
     ConnectionHandlers,
     CutReason,
@@ -1094,6 +1095,10 @@
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
+    def buffered_bytes(self) -> dict[BufferPlace, int]:
+        """Return the bytes of responses that the connections hold, by place."""
+        return self._server.buffered_bytes()
+
     @property
     def cut_by_reason(self) -> Mapping[CutReason, int]:
         """Requests of callers whose connection the node closed before it answered them."""
--- a/jaypost/metrics.py
+++ b/jaypost/metrics.py
@@ -155,6 +155,9 @@
         self._requests_cut = self._counter(
             "requests_cut_total", "Requests on connections that were closed without their answers"
         )
+        self._buffered_bytes = self._gauge(
+            "buffered_response_bytes", "Bytes of responses in buffers, by what they wait for"
+        )
         self._queued_requests = self._gauge("queued_requests", "Requests that wait for a slot")
         self._busy_slots = self._gauge("busy_slots", "Slots in use")
         self._slots = self._gauge("slots", "Slots of the targets of the host")
@@ -216,6 +219,10 @@
         for reason, count in count_by_reason.items():
             self._requests_cut.set(self._labels(reason=reason), count)
 
+    def buffers_changed(self, bytes_by_place: Mapping[str, int]) -> None:
+        """Set the bytes of responses that the node holds, by what they wait for."""
+        self._set_all(self._buffered_bytes, "place", bytes_by_place)
+
     def loads_changed(self, loads: Iterable[tuple[str, Load]]) -> None:
         """Set slots, busy slots and queued requests from the service and load of local targets."""
         busy: Counter[str] = Counter()
--- a/jaypost/uplink.py
+++ b/jaypost/uplink.py
@@ -59,6 +59,11 @@
         """Return the time in seconds until all written and queued bytes are transmitted."""
         return self._time_until_idle_s() + self.transfer_s(self._queued_bytes)
 
+    @property
+    def queued_bytes(self) -> int:
+        """Bytes of all connections that wait for the link."""
+        return self._queued_bytes
+
     def is_direct(self, size: int) -> bool:
         """Tell whether a write of `size` bytes is small enough to skip the queue."""
         return self.transfer_s(size) <= DIRECT_WRITE_MAX_S
--- a/tests/test_server_connections.py
+++ b/tests/test_server_connections.py
@@ -11,6 +11,7 @@
 from jaypost.codecs import RequestHead, ResponseHead
 from jaypost.connections import (
     MAX_CONCURRENT_REQUESTS,
+    BufferPlace,
     CallServer,
     ConnectionHandlers,
     CutReason,
@@ -241,3 +242,21 @@
     opened.calls[0].answer(b"body")
     assert opened.opened == ["/0"]
     assert (opened.announced_closes, opened.closed) == (1, True)
+
+
+@pytest.mark.parametrize("codec", CODECS)
+async def test_buffered_responses_are_counted_by_what_they_wait_for(codec: str) -> None:
+    """Guards against memory in use that no metric shows."""
+    opened = OpenConnection(codec)
+    opened.request(0)
+    opened.request(1)
+    opened.transport.write_buffer_bytes = 7
+    waiting = opened.calls[1:]
+    for call in waiting:
+        call.responder.send_body(b"x" * 1_000)
+    assert opened.server.buffered_bytes() == {
+        BufferPlace.SOCKET: 7,
+        BufferPlace.EARLIER_RESPONSE: 1_000 * len(waiting),
+    }
+    opened.calls[0].answer(b"body")
+    assert opened.server.buffered_bytes()[BufferPlace.EARLIER_RESPONSE] == 0
