Resume the sender of a response only when no buffer is full

A target that sends a body without end filled the memory of its node, when the caller read slowly and the link of the host was paced: one process grew to 555 MB in the 4 s until the deadline. Its other callers end with the process. Large responses of sound targets did the same at a lower rate.

Cause: the socket and the queue of the link paused and resumed the sender with the same two methods of the connection. A socket that drained resumed it while the queue was full, and the queue did not pause it a second time.

The connection keeps the set of full buffers. It also holds for the next response on the connection, whose sender was not paused at all before, and malformed input of a caller no longer resumes a response.

--- a/jaypost/connections.py
+++ b/jaypost/connections.py
@@ -189,6 +189,7 @@
         "_cut_reason",
         "_deferred_events",
         "_exchanges",
+        "_full_places",
         "_handlers",
         "_lingering",
         "_rate_timer",
@@ -212,6 +213,8 @@
         self._reading_exchange: _ServerExchange | None = None
         # Events of a request that must not start before the earlier requests are answered.
         self._deferred_events: list[Event] = []
+        # Buffers that hold as much of the responses as they may.
+        self._full_places: set[BufferPlace] = set()
         self._closing = False
         self._lingering = False
         # Set when the node closes the connection; None while only its other side may do so.
@@ -254,13 +257,40 @@
         """Let the transport close the connection, which it does when this returns None."""
 
     def pause_writing(self) -> None:
-        """Pause the sender of the response that is being written."""
-        if self._exchanges:
-            self._exchanges[0].pause_call()
+        """Note that the socket takes no more bytes now."""
+        self._set_full(BufferPlace.SOCKET)
 
     def resume_writing(self) -> None:
-        """Resume the sender of the response that is being written."""
-        if self._exchanges:
+        """Note that the socket takes bytes again."""
+        self._set_free(BufferPlace.SOCKET)
+
+    # QueueOwner
+
+    def pause_queue(self) -> None:
+        """Note that too many bytes wait for the link."""
+        self._set_full(BufferPlace.LINK)
+
+    def resume_queue(self) -> None:
+        """Note that few bytes wait for the link."""
+        self._set_free(BufferPlace.LINK)
+
+    def _set_full(self, place: BufferPlace) -> None:
+        """Pause the sender of the response that is being written."""
+        self._full_places.add(place)
+        self._apply_pause()
+
+    def _set_free(self, place: BufferPlace) -> None:
+        """Resume the sender of the response that is being written, once every place is free."""
+        self._full_places.discard(place)
+        self._apply_pause()
+
+    def _apply_pause(self) -> None:
+        """Pause or resume the sender of the response that is being written."""
+        if not self._exchanges:
+            return
+        if self._full_places:
+            self._exchanges[0].pause_call()
+        else:
             self._exchanges[0].resume_call()
 
     # events
@@ -448,7 +478,7 @@
         while self._exchanges and self._transport is not None and not self._lingering:
             first = self._exchanges[0]
             if not first.is_ended:
-                first.resume_call()
+                self._apply_pause()
                 return
             if first is self._reading_exchange and self._codec.message_done:
                 return  # the next event is the end of the request, which calls this again
--- a/jaypost/uplink.py
+++ b/jaypost/uplink.py
@@ -5,7 +5,7 @@
 import asyncio
 import time
 from collections import deque
-from typing import Any, cast
+from typing import Any, Protocol, cast
 
 # Large responses are sent in pieces that occupy the link for this time, in seconds. They delay a
 # small response by less than two pieces.
@@ -21,6 +21,16 @@
 BITS_PER_MEGABIT = 1_000_000
 
 
+class QueueOwner(Protocol):
+    """Sender of the bytes that a `PacedTransport` queues."""
+
+    def pause_queue(self) -> None:
+        """Send no more, because too many bytes are queued."""
+
+    def resume_queue(self) -> None:
+        """Send again."""
+
+
 class Uplink:
     """Shares the link of the host between the responses that the node writes.
 
@@ -47,9 +57,9 @@
         """Set the rate of the link in megabits per second; 0 disables pacing."""
         self.bytes_per_s = PAYLOAD_SHARE * megabits_per_s * BITS_PER_MEGABIT / BITS_PER_BYTE
 
-    def wrap(self, transport: asyncio.Transport, protocol: asyncio.Protocol) -> asyncio.Transport:
+    def wrap(self, transport: asyncio.Transport, owner: QueueOwner) -> asyncio.Transport:
         """Return a transport that paces its writes to `transport`."""
-        return PacedTransport(self, transport, protocol)
+        return PacedTransport(self, transport, owner)
 
     def transfer_s(self, size: float) -> float:
         """Return the time in seconds that the link takes to transmit `size` bytes."""
@@ -134,17 +144,16 @@
         Link of the host.
     transport : asyncio.Transport
         Transport of the open connection.
-    protocol : asyncio.Protocol
-        Protocol of the connection; its writing is paused while too many bytes are queued.
+    owner : QueueOwner
+        Paused while too many bytes are queued here. The transport pauses its protocol on its own,
+        so the owner sends only while neither has paused it.
     """
 
-    def __init__(
-        self, uplink: Uplink, transport: asyncio.Transport, protocol: asyncio.Protocol
-    ) -> None:
+    def __init__(self, uplink: Uplink, transport: asyncio.Transport, owner: QueueOwner) -> None:
         super().__init__()
         self._uplink = uplink
         self._transport = transport
-        self._protocol = protocol
+        self._owner = owner
         self._queued_parts: deque[memoryview] = deque()
         self.queued_bytes = 0
         self._paused = False
@@ -166,7 +175,7 @@
         self._uplink.enqueue(self, len(data))
         if self.queued_bytes > MAX_QUEUED_BYTES and not self._paused:
             self._paused = True
-            self._protocol.pause_writing()
+            self._owner.pause_queue()
 
     def write_piece(self, size: int) -> int:
         """Write at most `size` of the queued bytes and return the number written."""
@@ -178,7 +187,7 @@
         self._transport.write(piece)
         if self._paused and self.queued_bytes <= MAX_QUEUED_BYTES:
             self._paused = False
-            self._protocol.resume_writing()
+            self._owner.resume_queue()
         return len(piece)
 
     def on_queue_empty(self) -> None:
--- a/tests/link_fakes.py
+++ b/tests/link_fakes.py
@@ -82,14 +82,14 @@
         self.calls.append("resume_reading")
 
 
-class FakeProtocol(asyncio.Protocol):
-    """Counts how often writing was paused and resumed."""
+class FakeQueueOwner:
+    """Counts how often its queue was paused and resumed."""
 
     def __init__(self) -> None:
         self.paused = self.resumed = 0
 
-    def pause_writing(self) -> None:
+    def pause_queue(self) -> None:
         self.paused += 1
 
-    def resume_writing(self) -> None:
+    def resume_queue(self) -> None:
         self.resumed += 1
--- a/tests/test_load_patterns.py
+++ b/tests/test_load_patterns.py
@@ -18,7 +18,7 @@
 from jaypost.records import Row, Target, TargetState
 from jaypost.transfers import Transfers
 from jaypost.uplink import Uplink
-from tests.link_fakes import FakeProtocol, FakeTransport, SimulatedClock
+from tests.link_fakes import FakeQueueOwner, FakeTransport, SimulatedClock
 
 SLOTS = 10
 # Mean duration of a request.
@@ -277,7 +277,7 @@
         transport = FakeTransport(self.clock)
         self.arrival_by_transport[transport] = arrived_at
         answers.append(transport)
-        self.uplink.wrap(transport, FakeProtocol()).write(bytes(size))
+        self.uplink.wrap(transport, FakeQueueOwner()).write(bytes(size))
 
     def sent_s(self, transport: FakeTransport) -> float:
         """Return the time in seconds from a request until its response was written to the link."""
--- a/tests/test_server_connections.py
+++ b/tests/test_server_connections.py
@@ -41,6 +41,7 @@
     responder: Responder
     head: RequestHead
     disconnected: bool = False
+    paused: bool = False
 
     def begin(self) -> None:
         pass
@@ -72,10 +73,10 @@
         self.disconnected = True
 
     def on_write_paused(self) -> None:
-        pass
+        self.paused = True
 
     def on_write_resumed(self) -> None:
-        pass
+        self.paused = False
 
 
 @dataclass
@@ -260,3 +261,47 @@
     }
     opened.calls[0].answer(b"body")
     assert opened.server.buffered_bytes()[BufferPlace.EARLIER_RESPONSE] == 0
+
+
+# Changes of the two buffers below a connection, by their names on `ServerConnection`.
+SOCKET_FULL, SOCKET_FREE = "pause_writing", "resume_writing"
+LINK_FULL, LINK_FREE = "pause_queue", "resume_queue"
+
+
+@pytest.mark.parametrize(
+    ("changes", "paused"),
+    [
+        ((SOCKET_FULL,), True),
+        ((SOCKET_FULL, SOCKET_FREE), False),
+        ((LINK_FULL, SOCKET_FULL, SOCKET_FREE), True),
+        ((SOCKET_FULL, LINK_FULL, SOCKET_FREE), True),
+        ((SOCKET_FULL, LINK_FULL, LINK_FREE), True),
+        ((LINK_FULL, SOCKET_FULL, SOCKET_FREE, LINK_FREE), False),
+        ((LINK_FULL, SOCKET_FULL, SOCKET_FREE, SOCKET_FULL, LINK_FREE), True),
+    ],
+    ids=lambda value: " ".join(value) if isinstance(value, tuple) else None,
+)
+@pytest.mark.parametrize(("codec", "earlier"), [("httptools", 0), ("httptools", 1), ("h11", 0)])
+async def test_response_is_paused_while_any_buffer_is_full(
+    codec: str, changes: tuple[str, ...], paused: bool, earlier: int
+) -> None:
+    """Guards against a buffer that grows without bound because another one has room."""
+    opened = OpenConnection(codec)
+    for number in range(earlier + 1):
+        opened.request(number)
+    for change in changes:
+        getattr(opened.connection, change)()
+    for call in opened.calls[:earlier]:
+        call.answer(b"body")
+    call = opened.calls[-1]
+    assert (call.head.target, call.paused) == (f"/{earlier}", paused)
+
+
+@pytest.mark.parametrize("codec", CODECS)
+async def test_input_does_not_resume_a_paused_response(codec: str) -> None:
+    """Guards against a caller that sends bytes and thereby ends the pause of its responses."""
+    opened = OpenConnection(codec)
+    opened.request(0)
+    opened.connection.pause_writing()
+    opened.connection.data_received(b"nonsense\r\n\r\n")
+    assert opened.calls[0].paused
--- a/tests/test_uplink.py
+++ b/tests/test_uplink.py
@@ -10,7 +10,7 @@
 
 from jaypost import uplink as uplink_module
 from jaypost.uplink import DIRECT_WRITE_MAX_S, MAX_QUEUED_BYTES, PIECE_TRANSFER_S, Uplink
-from tests.link_fakes import FakeProtocol, FakeTransport, SimulatedClock
+from tests.link_fakes import FakeQueueOwner, FakeTransport, SimulatedClock
 
 # 1 megabit per second is 125 bytes per millisecond.
 LINK_MBPS = 8.0
@@ -30,7 +30,7 @@
     """One connection over the link: the fake transport and the paced one that wraps it."""
 
     transport: FakeTransport
-    protocol: FakeProtocol
+    owner: FakeQueueOwner
     paced: asyncio.Transport
 
 
@@ -41,8 +41,8 @@
 
 
 def connect(link: Uplink, clock: SimulatedClock) -> Connection:
-    transport, protocol = FakeTransport(clock), FakeProtocol()
-    return Connection(transport, protocol, link.wrap(transport, protocol))
+    transport, owner = FakeTransport(clock), FakeQueueOwner()
+    return Connection(transport, owner, link.wrap(transport, owner))
 
 
 def test_small_response_overtakes_large_ones(clock: SimulatedClock) -> None:
@@ -171,9 +171,9 @@
     link = make_link(clock)
     connection = connect(link, clock)
     connection.paced.write(bytes(2 * MAX_QUEUED_BYTES))
-    assert (connection.protocol.paused, connection.protocol.resumed) == (1, 0)
+    assert (connection.owner.paused, connection.owner.resumed) == (1, 0)
     clock.run_for(1.0)
-    assert (connection.protocol.paused, connection.protocol.resumed) == (1, 1)
+    assert (connection.owner.paused, connection.owner.resumed) == (1, 1)
 
 
 def test_backlog_counts_queued_and_written_bytes(clock: SimulatedClock) -> None:
