Keep a pause that comes before the response

A caller that did not read made its node keep the whole of a response whose request came, or whose target answered, while the connection was full: 21 MB for a response of 20 MB.

Cause: a message dropped because its receiver is not set yet. The pause of a connection was told to the response in progress only; a request that arrived later did not learn of it, an ingress call without a chosen response and an egress call without a request to its target dropped it.

A new request is told the state of its connection, and both calls keep it until there is something to pause.

Measured: test_pause_holds_for_a_response_that_begins_later fails in 3 of 6 cases and test_request_that_arrives_while_a_buffer_is_full_begins_paused in 4 of 4 on the commit before; with the change in only one of connections, ingress and egress taken out 3, 4 and 2 of 6 fail.

--- a/jaypost/connections.py
+++ b/jaypost/connections.py
@@ -370,6 +370,7 @@
             exchange.flush()
             return
         exchange.call = call = self._handlers.open_call(exchange, head)
+        self._apply_pause()
         call.begin()
 
     def _dispatch_deferred(self, transport: asyncio.Transport) -> None:
--- a/jaypost/egress.py
+++ b/jaypost/egress.py
@@ -117,6 +117,7 @@
         "_ticket",
         "_timeout_timer",
         "_waiting_for_slot",
+        "_write_paused",
     )
 
     def __init__(self, egress: Egress, responder: Responder, head: RequestHead) -> None:
@@ -142,6 +143,8 @@
         self._exchange: PooledExchange | None = None
         self._response_status = 0
         self._response_bytes = 0
+        # Whether the other side takes no more of the response now.
+        self._write_paused = False
         self._expected_transfer_s = 0.0
         # Set when the target reports that it did not execute the request.
         self._refused_kind: ErrorKind | None = None
@@ -300,6 +303,8 @@
             not self._streaming,
             _TargetReceiver(self),
         )
+        if self._write_paused:
+            self._exchange.pause()
         first_byte_timeout_s = self._row.first_byte_timeout_ms / 1000
         timeout_at = (
             min(self._deadline, now + first_byte_timeout_s)
@@ -387,12 +392,14 @@
         )
 
     def on_write_paused(self) -> None:
-        """Pause reading the response of the target."""
+        """Pause reading the response of the target, also if it has not begun."""
+        self._write_paused = True
         if self._exchange is not None:
             self._exchange.pause()
 
     def on_write_resumed(self) -> None:
         """Resume reading the response of the target."""
+        self._write_paused = False
         if self._exchange is not None:
             self._exchange.resume()
 
--- a/jaypost/ingress.py
+++ b/jaypost/ingress.py
@@ -262,6 +262,7 @@
         "_tenant",
         "_tried_target_ids",
         "_undelivered_attempts",
+        "_write_paused",
     )
 
     def __init__(self, ingress: Ingress, responder: Responder, head: RequestHead) -> None:
@@ -311,6 +312,8 @@
         self._response_head: ResponseHead | None = None
         self._response_chunks: list[bytes] = []
         self._response_bytes = 0
+        # Whether the caller's connection takes no more of the response now.
+        self._write_paused = False
         self._deadline_timer: asyncio.TimerHandle | None = None
         self._hedge_timer: asyncio.TimerHandle | None = None
         self._first_byte_timer: asyncio.TimerHandle | None = None
@@ -485,12 +488,14 @@
         )
 
     def on_write_paused(self) -> None:
-        """Pause reading the response, because the caller reads slowly."""
+        """Pause reading the response, or the one that will be chosen: the caller reads slowly."""
+        self._write_paused = True
         if self._chosen_attempt is not None and self._chosen_attempt.exchange is not None:
             self._chosen_attempt.exchange.pause()
 
     def on_write_resumed(self) -> None:
         """Resume reading the response."""
+        self._write_paused = False
         if self._chosen_attempt is not None and self._chosen_attempt.exchange is not None:
             self._chosen_attempt.exchange.resume()
 
@@ -733,6 +738,9 @@
         """Choose the response of an attempt for the caller and cancel the other attempts."""
         now = self._ingress.clock()
         self._chosen_attempt = attempt
+        if self._write_paused:
+            assert attempt.exchange is not None
+            attempt.exchange.pause()
         self._may_have_run = True
         for other in tuple(self._live_attempts):
             if other is not attempt:
--- a/tests/request_path/test_memory_bounds.py
+++ b/tests/request_path/test_memory_bounds.py
@@ -12,6 +12,7 @@
 import pytest
 
 from jaypost.records import Row
+from standins.target import Behaviour
 from tests.harness import Mesh, RawClient, running_mesh, wait_until
 from tests.request_path.memory_loop import MemoryLoop
 from tests.test_faulty_targets import Answer, FaultyTarget, endless
@@ -138,3 +139,32 @@
         assert peak < count * REQUEST_MEMORY_BYTES
         reading.cancel()
         await client.close()
+
+
+@pytest.mark.usefixtures("traced_memory")
+@pytest.mark.parametrize("sender", ["caller, own host", "caller, other host", "peer"])
+@pytest.mark.parametrize("link_mbps", [0, 100])
+async def test_pause_holds_for_a_response_that_begins_later(
+    loop: MemoryLoop, sender: str, link_mbps: int
+) -> None:
+    """Guards against a pause that is dropped because there is no response yet."""
+    loop.capacity_bytes = 60_000
+    row = Row("orders", timeout_ms=4 * TIMEOUT_MS)
+    places = (0, 1) if sender == "caller, other host" else (1,)
+    async with running_mesh("httptools", places, row=row, link_mbps=float(link_mbps)) as mesh:
+        target = mesh.nodes[-1].targets[0]
+        if sender == "peer":
+            client = await RawClient.open(mesh.nodes[0].peer_address)
+        else:
+            client = await mesh.client()
+        headers = {"x_jaypost_target": target.target_id} if sender == "peer" else {}
+        await READERS["not at all"].read(client)
+        client.send_request("GET", "/bytes/160000", x_request_id="fills-the-buffers", **headers)
+        await wait_until(lambda: len(mesh.nodes[-1].egress_calls) == 1)
+        target.behaviour = Behaviour(slow_ms=TIMEOUT_MS)
+        path = f"/bytes/{RESPONSE_BYTES}"
+        client.send_request("GET", path, x_request_id="begins-later", **headers)
+        await asyncio.sleep(3 * TIMEOUT_MS / 1000)
+        _, peak = tracemalloc.get_traced_memory()
+        assert peak < 2 * REQUEST_MEMORY_BYTES
+        await client.close()
--- a/tests/test_server_connections.py
+++ b/tests/test_server_connections.py
@@ -305,3 +305,15 @@
     opened.connection.pause_writing()
     opened.connection.data_received(b"nonsense\r\n\r\n")
     assert opened.calls[0].paused
+
+
+@pytest.mark.parametrize("codec", CODECS)
+@pytest.mark.parametrize("change", [SOCKET_FULL, LINK_FULL])
+async def test_request_that_arrives_while_a_buffer_is_full_begins_paused(
+    codec: str, change: str
+) -> None:
+    """Guards against a response that fills a buffer which was full before its request came."""
+    opened = OpenConnection(codec)
+    getattr(opened.connection, change)()
+    opened.request(0)
+    assert opened.calls[0].paused
