Derive from the requests whether a connection is read

Cause: a paused reader that one path of several resumes. A body that passed 64 KB with the read in which it ended was paused, and the place that resumes it returned early. A refusal, a timeout and a broken connection in that time left the connection unread as well. Ruled out by printing the state after the response: a codec inside a message (none, no following bytes) and a request that is held back (no exchange, nothing deferred); is_reading() was False.

Only ServerConnection.update_reading pauses and resumes now, from the state of the requests: the body in progress must wait, or a request behind others must.

--- a/jaypost/connections.py
+++ b/jaypost/connections.py
@@ -328,6 +328,7 @@
         elif kind is MessageEnd:
             reading, self._reading_exchange = self._reading_exchange, None
             reading.request_done = True
+            self.update_reading()
             if reading.is_ended:
                 self.advance()
             else:
@@ -336,8 +337,7 @@
     def _request_arrived(self, head: RequestHead) -> None:
         if self._exchanges and not self._may_execute_concurrently(head):
             self._deferred_events.append(head)
-            if self._transport is not None:
-                self._transport.pause_reading()
+            self.update_reading()
             return
         self._open_exchange(head)
 
@@ -373,10 +373,10 @@
         self._apply_pause()
         call.begin()
 
-    def _dispatch_deferred(self, transport: asyncio.Transport) -> None:
+    def _dispatch_deferred(self) -> None:
         events, self._deferred_events = self._deferred_events, []
-        transport.resume_reading()
         self._dispatch_all(events)
+        self.update_reading()
 
     def _fail(self, kind: ErrorKind, reason: str) -> None:
         log.info("input_refused", kind=kind, reason=reason)
@@ -465,14 +465,20 @@
         """Bytes of responses that wait for the earlier responses of the connection."""
         return sum(exchange.waiting_bytes for exchange in self._exchanges)
 
-    def set_reading(self, reading: bool) -> None:
-        """Resume or pause reading from the socket."""
-        if self._transport is None:
+    def update_reading(self) -> None:
+        """Read from the socket, unless the request in progress or one behind it has to wait.
+
+        Nothing else pauses or resumes reading. The state follows from the requests alone, so that
+        no end of a request can leave the connection paused.
+        """
+        if self._transport is None or self._lingering:
             return
-        if reading:
-            self._transport.resume_reading()
-        else:
+        reading = self._reading_exchange
+        body_must_wait = reading is not None and reading.body_paused and not reading.is_ended
+        if self._deferred_events or body_must_wait:
             self._transport.pause_reading()
+        else:
+            self._transport.resume_reading()
 
     def advance(self) -> None:
         """Remove completed exchanges, write the next response and decode further requests."""
@@ -501,7 +507,7 @@
         if self._reading_exchange is None:
             self._stop_rate_timer()
         if self._deferred_events:
-            self._dispatch_deferred(self._transport)
+            self._dispatch_deferred()
         else:
             self._dispatch_all([])
             self._note_if_idle()
@@ -580,6 +586,7 @@
         "_encoded_parts",
         "_paused",
         "_waiting_parts",
+        "body_paused",
         "call",
         "is_ended",
         "request_done",
@@ -596,6 +603,7 @@
         self.request_head = request_head
         self.request_done = request_head is UNREADABLE_REQUEST
         self.call: IncomingCall | None = None
+        self.body_paused = False
         self.is_ended = False
         self._aborted = False
         self._paused = False
@@ -674,6 +682,7 @@
         self._add_part(None)
         self.is_ended = True
         self.call = None
+        self._connection.update_reading()
 
     def send_continue(self) -> None:
         """Send ``100 Continue``, which asks for the body of the request."""
@@ -696,12 +705,14 @@
             self._connection.abort()
 
     def pause_body(self) -> None:
-        """Pause reading from the connection."""
-        self._connection.set_reading(False)
+        """Pause reading from the connection while the body of this request arrives."""
+        self.body_paused = True
+        self._connection.update_reading()
 
     def resume_body(self) -> None:
         """Resume reading from the connection."""
-        self._connection.set_reading(True)
+        self.body_paused = False
+        self._connection.update_reading()
 
     @property
     def readable_request_head(self) -> RequestHead | None:
