Do not resume a body that its target does not take

A caller with a long body in chunks, to a target of its own host that does not read, was read without end, and its node buffered the whole body.

Cause: a pause that another path ends. The first part of the body is written as soon as the target has the head. If it fills the connection, the pause comes while it is written, and the calls resumed the sender right after it, without looking. The connection does not pause a second time.

Both calls keep the pause, and resume the body only without one.

--- a/jaypost/egress.py
+++ b/jaypost/egress.py
@@ -98,6 +98,7 @@
         "_body_bytes",
         "_body_chunks",
         "_body_complete",
+        "_body_paused",
         "_call_class",
         "_counted_by_limits",
         "_deadline",
@@ -140,6 +141,8 @@
         self._body_bytes = 0
         self._body_chunks: list[bytes] = []
         self._body_complete = False
+        # Whether the target takes no more of the body now.
+        self._body_paused = False
         self._exchange: PooledExchange | None = None
         self._response_status = 0
         self._response_bytes = 0
@@ -362,10 +365,12 @@
             return
         if self._head.expect_continue:
             self._responder.send_continue()
-        self._responder.resume_body()
+        if not self._body_paused:
+            self._responder.resume_body()
 
     def on_target_write_paused(self, paused: bool) -> None:
         """Pass the backpressure of the target on to the sender of the body."""
+        self._body_paused = paused
         if paused:
             self._responder.pause_body()
         else:
--- a/jaypost/ingress.py
+++ b/jaypost/ingress.py
@@ -228,6 +228,7 @@
         "_body_bytes",
         "_body_chunks",
         "_body_complete",
+        "_body_paused",
         "_call_class",
         "_chosen_attempt",
         "_claimed",
@@ -287,6 +288,8 @@
         self._body_chunks: list[bytes] = []
         self._body_bytes = 0
         self._body_complete = False
+        # Whether the egress of the attempt takes no more of the body now.
+        self._body_paused = False
         # Whether the body goes to a single attempt as it arrives; it cannot be sent again.
         self._forwarding_body = False
         # Whether the first attempt starts before the body is complete, because the body is large.
@@ -455,10 +458,12 @@
             return
         if self._head.expect_continue:
             self._responder.send_continue()
-        self._responder.resume_body()
+        if not self._body_paused:
+            self._responder.resume_body()
 
     def on_attempt_write_paused(self, paused: bool) -> None:
         """Pass the backpressure of the egress on to the caller."""
+        self._body_paused = paused
         if not self._forwarding_body or self._body_complete:
             return
         if paused:
@@ -603,6 +608,7 @@
 
     def _send(self, attempt: Attempt, row: Row, now: float, hedge: bool) -> None:
         ingress = self._ingress
+        self._body_paused = False
         head = self._request_head(attempt, now, hedge)
         complete = not self._streaming
         body = b"".join(self._body_chunks) if complete else b""
