Take no refusal from a response that names no request

Cause: a proof taken from bytes that name no request. The egress accepted responses without an id, except those with a refusal header or status 421. Ruled out by a test at the egress alone: a refusal of the ingress (no error kind) and a duplicate with an id (dropped).

A target that has named a request is not believed without a name, and none is believed without a name that says by status 408, 421, 429 or 503 that a request was not run. Both are unknown outcomes.

--- a/jaypost/egress.py
+++ b/jaypost/egress.py
@@ -90,6 +90,17 @@
 _FORWARDED_CONTROL = (HOST, REQUEST_ID, TENANT, RETRY, IDEMPOTENCY_KEY, CALLER, TARGET)
 
 
+# Statuses by which a target tells a caller that its request was not run and will not be.
+NOT_RUN_STATUSES = frozenset(
+    {
+        HTTPStatus.REQUEST_TIMEOUT,
+        HTTPStatus.MISDIRECTED_REQUEST,
+        HTTPStatus.TOO_MANY_REQUESTS,
+        HTTPStatus.SERVICE_UNAVAILABLE,
+    }
+)
+
+
 class EgressCall(IncomingCall):
     """One request of a peer, from its head to the release of its slot."""
 
@@ -424,6 +435,8 @@
             self._exchange.cancel()
             self._fail(ErrorKind.OUTCOME_UNKNOWN)
             return
+        named = not request_id or head.control.get(REQUEST_ID) == request_id
+        check(named or not _says_not_run(head), "P5_refusal_without_request", status=head.status)
         percent = _int_or_default(head.control.get(WORK_DURATION), 0)
         if percent:
             now = self._egress.clock()
@@ -470,16 +483,19 @@
         if rate is not None or (named is None and self._refused_kind is None):
             self._egress.note_rate(self.target_id, rate)
 
-    @staticmethod
-    def _belongs_to_call(head: ResponseHead, request_id: bytes) -> bool:
+    def _belongs_to_call(self, head: ResponseHead, request_id: bytes) -> bool:
         """Tell whether a response may be taken for the one to the request with `request_id`.
 
-        Targets may leave the identifier out, but not when they refuse a request: an earlier refusal
-        that is written again would say that this request was not run.
+        A response that names no request is taken only from a target that has never named one, and
+        only if it does not say that the request was not run.
         """
         echoed = head.control.get(REQUEST_ID)
-        refuses = SHED in head.control or head.status == HTTPStatus.MISDIRECTED_REQUEST
-        return echoed == request_id or (echoed is None and (not refuses or not request_id))
+        if echoed is not None:
+            self._egress.naming_target_ids.add(self.target_id)
+            return echoed == request_id
+        if not request_id:
+            return True
+        return self.target_id not in self._egress.naming_target_ids and not _says_not_run(head)
 
     def on_target_body(self, data: bytes) -> None:
         """Forward a part of the response body."""
@@ -622,6 +638,11 @@
             long_work_classifier.discard(self._ticket, service, path)
 
 
+def _says_not_run(head: ResponseHead) -> bool:
+    """Tell whether a caller takes a response as the promise that its request was not run."""
+    return SHED in head.control or head.status in NOT_RUN_STATUSES
+
+
 def _int_or_default(value: bytes | None, default: int) -> int:
     return int(value) if value is not None and value.isdigit() else default
 
@@ -713,6 +734,8 @@
         self.long_work_classifier = LongWorkClassifier()
         self.breakers = Breakers()
         self.rates = TargetRates()
+        # Targets that have named the request in a response.
+        self.naming_target_ids: set[str] = set()
         max_connections = connection_limits(settings.max_files)
         self.pool = ConnectionPool(
             settings, dialect=dialect, max_connections=max_connections.to_targets
@@ -770,6 +793,7 @@
         self.target_by_id = {target.target_id: target for target in effective}
         self.breakers.retain(self.target_by_id)
         self.rates.retain(self.target_by_id)
+        self.naming_target_ids &= self.target_by_id.keys()
         self.own_slots_by_service = {}
         for target in effective:
             if target.state is TargetState.READY:
--- a/tests/test_faulty_targets.py
+++ b/tests/test_faulty_targets.py
@@ -246,3 +246,34 @@
             reply = await send(client, "a")
             await wait_until(lambda: target.closed_connections > 0)
         assert (reply.error, reply.run) == (ErrorKind.TARGET_SHED, RunState.NOT_RUN)
+
+
+NOT_RUN_STATUSES = (408, 421, 429, 503)
+OTHER_STATUSES = (200, 204, 400, 404, 500, 502, 504)
+
+
+def unnamed(status: int) -> Answer:
+    """Return an answer that names no request, as bytes of a faulty target in its place do."""
+
+    async def answer(writer: asyncio.StreamWriter, request_id: str) -> None:
+        writer.write(response(None, f"{status} Extra", b"" if status == 204 else b"extra"))
+
+    return answer
+
+
+@pytest.mark.parametrize("names_others", [True, False], ids=["names others", "names none"])
+@pytest.mark.parametrize("status", NOT_RUN_STATUSES + OTHER_STATUSES)
+async def test_response_that_names_no_request_proves_nothing(
+    codec: str, status: int, names_others: bool
+) -> None:
+    """Guards against bytes of a faulty target as "not run" or the success of a running request."""
+    first = run if names_others else unnamed(200)
+    async with egress_of(codec, first, unnamed(status)) as (target, client):
+        assert (await send(client, "a")).status == 200
+        second = await send(client, "b")
+        assert target.request_ids == ["a", "b"]
+        if names_others or status in NOT_RUN_STATUSES:
+            assert (second.error, second.run) == (ErrorKind.OUTCOME_UNKNOWN, RunState.UNKNOWN)
+            await wait_until(lambda: target.closed_connections == 1)
+        else:
+            assert (second.error, second.status) == ("", status)
