Read the rest of the input before the close behind a last response

A caller whose node stops, with a request on the connection that waits behind the last response, could lose that response: the node closed the connection while input was unread, which makes the kernel send a reset and drop what it had not sent yet. With h11 it happened behind any response that closes.

Cause: whether input may follow was decided after the waiting requests had been forgotten, and bytes behind the message did not count.

The connection now reads and drops input for a second, as before other closes, if a request waits, or bytes follow the message.

--- a/jaypost/connections.py
+++ b/jaypost/connections.py
@@ -521,7 +521,6 @@
         self._cut_reason = CutReason.RESPONSE_CLOSES
         check(not self._exchanges, "P8_response_cuts_others", requests=len(self._exchanges))
         self._cancel_exchanges()
-        self._deferred_events.clear()
         self._linger()
 
     def abort(self) -> None:
@@ -550,7 +549,14 @@
         transport = self._transport
         if transport is None or transport.is_closing():
             return
-        if self._codec.message_done and not self._deferred_events:
+        input_may_follow = (
+            not self._codec.message_done
+            or bool(self._deferred_events)
+            or self._codec.has_following_bytes
+            or self._codec.has_excess_bytes
+        )
+        self._deferred_events.clear()
+        if not input_may_follow:
             transport.close()
             return
         transport.resume_reading()
--- a/tests/test_server_connections.py
+++ b/tests/test_server_connections.py
@@ -10,6 +10,7 @@
 from jaypost.calls import error_response
 from jaypost.codecs import RequestHead, ResponseHead
 from jaypost.connections import (
+    LINGER_S,
     MAX_CONCURRENT_REQUESTS,
     BufferPlace,
     CallServer,
@@ -317,3 +318,34 @@
     getattr(opened.connection, change)()
     opened.request(0)
     assert opened.calls[0].paused
+
+
+# What follows a request on its connection when the connection closes behind the response.
+FOLLOWING = {
+    "whole request that must wait": (
+        b"POST /1 HTTP/1.1\r\nhost: orders\r\ncontent-length: 0\r\n\r\n"
+    ),
+    "request that must wait": b"POST /1 HTTP/1.1\r\nhost: orders\r\ncontent-length: 9\r\n\r\n",
+    "body of a request that must wait": (
+        b"POST /1 HTTP/1.1\r\nhost: orders\r\ncontent-length: 9\r\n\r\nabc"
+    ),
+    "part of a head": b"GET /1 HT",
+}
+
+
+@pytest.mark.parametrize("codec", CODECS)
+@pytest.mark.parametrize("following", FOLLOWING)
+async def test_input_behind_the_last_response_is_read_before_the_close(
+    codec: str, following: str
+) -> None:
+    """Guards against a reset that destroys the response, because unread input is left (LOST)."""
+    opened = OpenConnection(codec)
+    opened.request(0)
+    opened.connection.data_received(FOLLOWING[following])
+    opened.server.draining = True
+    opened.calls[0].answer(b"body")
+    assert opened.opened == ["/0"]
+    assert opened.transport.is_reading()
+    assert ("write_eof" in opened.transport.calls, opened.transport.is_closing()) == (True, False)
+    await asyncio.sleep(2 * LINGER_S)
+    assert opened.transport.is_closing()
