--- a/tests/request_path/memory_loop.py
+++ b/tests/request_path/memory_loop.py
@@ -58,6 +58,7 @@
         self._eof_written = False
         self._eof_arrived = False
         self._eof_delivered = False
+        self._reset_arrived = False
         self._closing = False
         self._lost = False
         self._reading = True
@@ -70,6 +71,9 @@
     def write(self, data: Any) -> None:
         if self._closing or self._lost or self._eof_written:
             return
+        if self._reset_arrived:
+            self._lose(BrokenPipeError())
+            return
         self._unsent += data
         self._move()
         if len(self._unsent) > HIGH_WATER_BYTES and not self._writing_paused:
@@ -81,6 +85,10 @@
         other = self.other
         if self._lost:
             return
+        if self._unsent and other._closing:
+            # The kernel answers bytes for a closed connection with a reset.
+            self._reset()
+            return
         if self._unsent:
             size = max(0, self.capacity_bytes - len(other._unread))
             if size:
@@ -136,8 +144,10 @@
             self._loop.reads += 1
             self._protocol.data_received(data)
             self.other._move()
-            if self._unread or self._eof_arrived:
+            if self._unread or self._eof_arrived or self._reset_arrived:
                 self._schedule_read()
+        elif self._reset_arrived:
+            self._lose(ConnectionResetError())
         elif self._eof_arrived and not self._eof_delivered:
             self._eof_delivered = True
             if not self._protocol.eof_received():
@@ -167,8 +177,14 @@
             self._lose(None)
 
     def _reset(self) -> None:
-        if not self._lost:
-            self._lose(ConnectionResetError())
+        """Handle a reset by the other side: what arrived before can still be read, as on Linux."""
+        self._unsent.clear()
+        self._reset_arrived = True
+        if self._closing:
+            if not self._lost:
+                self._lose(ConnectionResetError())
+        else:
+            self._schedule_read()
 
     def _lose(self, error: Exception | None) -> None:
         self._closing = self._lost = True
