Keep the check of a whole body and the noting of names in one place each

The ingress and the egress repeated the check of P11; it is a method of the exchange now. Whether a response belongs to a request is a query again: that the target names requests is noted by its caller. No behaviour changes.

--- a/jaypost/connections.py
+++ b/jaypost/connections.py
@@ -275,17 +275,17 @@
         self._set_free(BufferPlace.LINK)
 
     def _set_full(self, place: BufferPlace) -> None:
-        """Pause the sender of the response that is being written."""
+        """Pause the sender of the response that is being written, until no place is full."""
         self._full_places.add(place)
         self._apply_pause()
 
     def _set_free(self, place: BufferPlace) -> None:
-        """Resume the sender of the response that is being written, once every place is free."""
+        """Resume the sender of the response that is being written if no place is full."""
         self._full_places.discard(place)
         self._apply_pause()
 
     def _apply_pause(self) -> None:
-        """Pause or resume the sender of the response that is being written."""
+        """Pause or resume the sender of the first response, according to the full places."""
         if not self._exchanges:
             return
         if self._full_places:
--- a/jaypost/egress.py
+++ b/jaypost/egress.py
@@ -352,13 +352,7 @@
 
     def _complete_request(self, exchange: PooledExchange) -> None:
         """Send the end of a forwarded request, unless a part of its body is missing."""
-        if check(
-            exchange.sent_body_bytes == self._body_bytes,
-            "P11_whole_body",
-            side="egress",
-            received=self._body_bytes,
-            passed_on=exchange.sent_body_bytes,
-        ):
+        if exchange.has_whole_body(self._body_bytes, "egress"):
             exchange.send_end()
             return
         exchange.cancel()
@@ -426,6 +420,8 @@
         assert self._exchange is not None and self._target is not None
         self._egress.record_target_alive(self.target_id)
         request_id = self._head.control.get(REQUEST_ID, b"")
+        if REQUEST_ID in head.control:
+            self._egress.naming_target_ids.add(self.target_id)
         if not self._belongs_to_call(head, request_id):
             log.error(
                 "crossed_response",
@@ -491,7 +487,6 @@
         """
         echoed = head.control.get(REQUEST_ID)
         if echoed is not None:
-            self._egress.naming_target_ids.add(self.target_id)
             return echoed == request_id
         if not request_id:
             return True
--- a/jaypost/ingress.py
+++ b/jaypost/ingress.py
@@ -426,13 +426,7 @@
         """Send the end of a forwarded request, unless a part of its body is missing."""
         exchange = attempt.exchange
         assert exchange is not None
-        if check(
-            exchange.sent_body_bytes == self._body_bytes,
-            "P11_whole_body",
-            side="ingress",
-            received=self._body_bytes,
-            passed_on=exchange.sent_body_bytes,
-        ):
+        if exchange.has_whole_body(self._body_bytes, "ingress"):
             exchange.send_end()
             return
         exchange.cancel()
--- a/jaypost/pools.py
+++ b/jaypost/pools.py
@@ -28,6 +28,7 @@
 )
 from jaypost.connections import PROBE_REQUEST_TARGET
 from jaypost.errors import ErrorKind
+from jaypost.invariants import check
 from jaypost.logs import EventName
 from jaypost.records import Address
 from jaypost.settings import Settings
@@ -140,6 +141,16 @@
     def reached(self) -> bool:
         """Whether the other side may have read any byte of the request."""
 
+    def has_whole_body(self, received_bytes: int, side: str) -> bool:
+        """Check that all bytes of the body that `side` has received were passed on."""
+        return check(
+            self.sent_body_bytes == received_bytes,
+            "P11_whole_body",
+            side=side,
+            received=received_bytes,
+            passed_on=self.sent_body_bytes,
+        )
+
 
 class PooledExchange(Exchange):
     """A request on a pooled connection.
