Let the targets of a test end before its event loop

47 warnings of streams that outlived the loop came from one test. They said nothing about the product; the checks of the test are unchanged.

--- a/tests/request_path/test_kept_connections.py
+++ b/tests/request_path/test_kept_connections.py
@@ -90,8 +90,12 @@
             await wait_until(lambda: not mesh.nodes[0].ingress._server.connections)
 
 
+# Time for which a target accepts bytes without reading them.
+NOT_READING_S = 10 * TIMEOUT_MS / 1000
+
+
 async def accept_and_not_read(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-    await asyncio.sleep(10 * TIMEOUT_MS / 1000)
+    await asyncio.sleep(NOT_READING_S)
     writer.close()
 
 
@@ -127,3 +131,4 @@
         await client.close()
         mesh.nodes[0 if own_host else 1].targets.clear()
     server.close()
+    await asyncio.sleep(NOT_READING_S)
