Deliver whole responses in front of one that is cut

A target cuts the response to the second of 62 pipelined requests; the caller does not get the first one either, although its whole response was written.

Cause: the connection was closed with unread requests behind the response. The kernel answers this with a reset, and what the caller has not read yet is gone.

Change: ServerConnection.abort closes like the other closes do, by reading the rest of the input for a second.

Wide scenarios: expect-continue, interim responses, chunks of one byte, many chunks, responses without a length, many pipelined requests, malformed bytes behind them, two targets, a host that ends, and samples of the buffers.

--- a/jaypost/connections.py
+++ b/jaypost/connections.py
@@ -536,7 +536,7 @@
             sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, LINGER_RESET)
             transport.abort()
         else:
-            transport.close()  # delivers what was already written
+            self._linger()  # delivers what was already written
 
     def _linger(self) -> None:
         """Close the connection in a way that lets the response arrive.
--- a/tests/harness.py
+++ b/tests/harness.py
@@ -87,6 +87,8 @@
 
     async def read_reply(self, has_body: bool = True) -> Reply:
         reply = await self.read_head()
+        while reply.status < 200:  # interim responses have no body
+            reply = await self.read_head()
         if not has_body or reply.status == 204:
             return replace(reply, complete=True)
         try:
--- a/tests/request_path/test_scenarios.py
+++ b/tests/request_path/test_scenarios.py
@@ -10,13 +10,26 @@
 import pytest
 
 from tests.request_path.memory_loop import MemoryLoop
-from tests.request_path.scenario import draw, play
+from tests.request_path.scenario import draw, draw_wide, play
 
-FIRST, _, END = os.environ.get("JAYPOST_SCENARIO_SEEDS", "0:300").partition(":")
+SEEDS = os.environ.get("JAYPOST_SCENARIO_SEEDS")
 
 
-@pytest.mark.parametrize("seed", range(int(FIRST), int(END)))
+def seeds(end: int) -> range:
+    """Return the seeds to play: those of the environment, or the first ones up to `end`."""
+    first, _, last = (SEEDS or f"0:{end}").partition(":")
+    return range(int(first), int(last))
+
+
+@pytest.mark.parametrize("seed", seeds(300))
 async def test_scenario_keeps_the_rules(loop: MemoryLoop, seed: int) -> None:
     """Guards against faults of sizes, orders and times that no other test varies (P4 to P6, P8)."""
     scenario = draw(seed)
     assert await play(scenario, loop) == [], scenario
+
+
+@pytest.mark.parametrize("seed", seeds(200))
+async def test_wide_scenario_keeps_the_rules(loop: MemoryLoop, seed: int) -> None:
+    """Guards against the same with interim responses, small chunks, two targets and dead peers."""
+    scenario = draw_wide(seed)
+    assert await play(scenario, loop) == [], scenario
--- a/tests/test_server_connections.py
+++ b/tests/test_server_connections.py
@@ -349,3 +349,23 @@
     assert ("write_eof" in opened.transport.calls, opened.transport.is_closing()) == (True, False)
     await asyncio.sleep(2 * LINGER_S)
     assert opened.transport.is_closing()
+
+
+@pytest.mark.parametrize("more_input", [True, False])
+async def test_response_that_is_cut_does_not_cost_the_whole_one_before_it(more_input: bool) -> None:
+    """Guards against a close with unread input, whose reset drops responses that were written."""
+    opened = OpenConnection("httptools")  # h11 has one request in progress
+    opened.request(0)
+    opened.request(1)
+    if more_input:
+        opened.request(2, "POST", "\r\ncontent-length: 0\r\n\r\n")
+    opened.calls[0].answer(b"whole")
+    opened.calls[1].send_head(10)
+    opened.calls[1].responder.abort()
+    assert opened.opened == ["/0", "/1"]
+    assert opened.transport.is_reading()
+    assert ("write_eof" in opened.transport.calls, opened.transport.is_closing()) == (True, False)
+    await asyncio.sleep(2 * LINGER_S)
+    assert "close" in opened.transport.calls and "abort" not in opened.transport.calls
+    opened.connection.connection_lost(None)
+    assert opened.server.cut_by_reason == {CutReason.RESPONSE_ABORTED: 1}
