--- a/tests/request_path/test_scenarios.py
+++ b/tests/request_path/test_scenarios.py
@@ -10,7 +10,8 @@
 import pytest
 
 from tests.request_path.memory_loop import MemoryLoop
-from tests.request_path.scenario import draw, draw_wide, play
+from tests.request_path.plans import draw, draw_wide
+from tests.request_path.scenario import play
 
 SEEDS = os.environ.get("JAYPOST_SCENARIO_SEEDS")
 
