--- a/tests/test_lost_readers.py
+++ b/tests/test_lost_readers.py
@@ -102,7 +102,7 @@
         callee = self.fleet.node_by_address[address]
         same_region = callee.region == self.fleet.node_by_id[self.caller].region
         for _ in range(2):  # the request, then the reply
-            if {self.caller, callee.node_id} & self.fleet.dark_ids:
+            if {self.caller, callee.node_id} & (self.fleet.dark_ids | self.fleet.cut_ids):
                 await asyncio.Event().wait()
             await asyncio.sleep(ONE_WAY_S_BY_SAME_REGION[same_region])
         return Replied(await callee.gossip._serve(request))
@@ -217,6 +217,8 @@
     # Hosts without power or network, and hosts that the store does not answer.
     dark_ids: set[str] = field(default_factory=set)
     turned_away_ids: set[str] = field(default_factory=set)
+    # Hosts that reach the store, but no other host.
+    cut_ids: set[str] = field(default_factory=set)
     version: int = 1
     version_changed: asyncio.Event = field(default_factory=asyncio.Event)
 
@@ -301,3 +303,30 @@
         late_hosts_by_seed[seed] = fleet.late_hosts()
         await fleet.close()
     assert not {seed: hosts for seed, hosts in late_hosts_by_seed.items() if hosts}
+
+
+def first_reader(fleet: SimulatedFleet) -> set[str]:
+    return {min(fleet.reading())}
+
+
+def host_that_does_not_read(fleet: SimulatedFleet) -> set[str]:
+    return {max(fleet.node_by_id.keys() - fleet.reading())}
+
+
+@pytest.mark.parametrize("cut", [first_reader, host_that_does_not_read])
+@pytest.mark.parametrize("cut_before_s", [ACCEPTED_AFTER_S, 3.0])
+async def test_version_is_in_force_in_time_on_a_host_that_reaches_only_the_store(
+    cut: Loss, cut_before_s: float
+) -> None:
+    """Guards against an old version for as long as a host hears no other one (CONFIG, review/5)."""
+    late_hosts_by_seed = {}
+    for seed in SEEDS:
+        fleet = SimulatedFleet()
+        await fleet.start(seed)
+        fleet.cut_ids = cut(fleet)
+        await asyncio.sleep(cut_before_s)
+        fleet.accept_version()
+        await asyncio.sleep(IN_FORCE_BOUND_S)
+        late_hosts_by_seed[seed] = fleet.late_hosts()
+        await fleet.close()
+    assert not {seed: hosts for seed, hosts in late_hosts_by_seed.items() if hosts}
