Dispatch many requests of one read without recursion

Callers saw 313 of 2,000 requests for an unknown service that arrived in one piece answered, then RecursionError in the log and a closed connection.

Cause: a request that is answered while its head is dispatched ends in advance(), which decodes and dispatches the next one, so that each request adds seven frames to the stack. Requests that wait for a target were not concerned, because their answers come from the event loop.

Change: _dispatch_all is not re-entered. An inner call only adds its events in front of the pending ones, and the outer loop goes on with them.

--- a/jaypost/connections.py
+++ b/jaypost/connections.py
@@ -188,10 +188,12 @@
         "_codec",
         "_cut_reason",
         "_deferred_events",
+        "_dispatching",
         "_exchanges",
         "_full_places",
         "_handlers",
         "_lingering",
+        "_pending_events",
         "_rate_timer",
         "_reading_exchange",
         "_received_bytes",
@@ -213,6 +215,9 @@
         self._reading_exchange: _ServerExchange | None = None
         # Events of a request that must not start before the earlier requests are answered.
         self._deferred_events: list[Event] = []
+        # Decoded events that `_dispatch_all` has not dispatched yet.
+        self._pending_events: deque[Event] = deque()
+        self._dispatching = False
         # Buffers that hold as much of the responses as they may.
         self._full_places: set[BufferPlace] = set()
         self._closing = False
@@ -296,8 +301,24 @@
     # events
 
     def _dispatch_all(self, events: list[Event]) -> None:
+        """Dispatch events, then those of the requests that were received behind them.
+
+        A request that is answered at once calls this again through `advance`. The outer call then
+        goes on with the next request, so that the depth of the stack does not grow with each one.
+        """
+        self._pending_events.extendleft(reversed(events))
+        if self._dispatching:
+            return
+        self._dispatching = True
+        try:
+            self._dispatch_pending()
+        finally:
+            self._dispatching = False
+
+    def _dispatch_pending(self) -> None:
         while True:
-            for event in events:
+            while self._pending_events:
+                event = self._pending_events.popleft()
                 if self._deferred_events:
                     self._deferred_events.append(event)
                 else:
@@ -305,7 +326,7 @@
             if not self._can_decode_next_request():
                 return
             self._codec.next_message()
-            events = self._codec.receive(b"")
+            self._pending_events.extend(self._codec.receive(b""))
 
     def _can_decode_next_request(self) -> bool:
         """Tell whether the next request can be decoded now."""
@@ -514,7 +535,9 @@
 
     def _note_if_idle(self) -> None:
         """Tell the server if no request is in progress, not even a part of its head."""
-        if not self._exchanges and not self._codec.head_pending and self._transport is not None:
+        if self._exchanges or self._dispatching or self._codec.head_pending:
+            return
+        if self._transport is not None:
             self._server.connection_idle(self)
 
     def _close_after_response(self) -> None:
