Say in a response before the end of its request that the connection closes

Callers with pooled connections saw a request without any answer behind a refusal (404, 429, 503) that was given before the whole body had arrived.

Cause: _closes_after did not ask whether the request is whole, while advance closes the connection for that reason once the response has ended.

--- a/jaypost/connections.py
+++ b/jaypost/connections.py
@@ -455,8 +455,12 @@
     def _closes_after(self, exchange: _ServerExchange) -> bool:
         """Tell whether the connection closes after the response of `exchange`.
 
-        The requests behind it were passed on when they arrived, so their responses come first.
+        The requests behind it were passed on when they arrived, so their responses come first. A
+        response that begins before the whole request has arrived also closes the connection: the
+        rest of a request that was refused may be long, and nobody needs it.
         """
+        if exchange is self._reading_exchange and not self._codec.message_done:
+            return True
         return (self._closing or self._server.draining) and exchange is self._exchanges[-1]
 
     def encode(self, part: _ResponsePart, exchange: _ServerExchange) -> bytes:
