Write pipelined responses only while no buffer is full

A node held up to 3.5 MB in the write buffer of one connection: when the first of many pipelined responses was complete, all that waited behind it were written at once, also after the socket had become full.

Change: advance() stops before a response that waits while a buffer is full, and the buffer that becomes free continues. The bound of docs/design.md, 64 KB of the event loop and one write, holds again.

--- a/jaypost/connections.py
+++ b/jaypost/connections.py
@@ -287,7 +287,10 @@
     def _set_free(self, place: BufferPlace) -> None:
         """Resume the sender of the response that is being written if no place is full."""
         self._full_places.discard(place)
-        self._apply_pause()
+        if self._exchanges and self._exchanges[0].has_waiting_parts:
+            self.advance()
+        else:
+            self._apply_pause()
 
     def _apply_pause(self) -> None:
         """Pause or resume the sender of the first response, according to the full places."""
@@ -509,6 +512,11 @@
         """Remove completed exchanges, write the next response and decode further requests."""
         while self._exchanges and self._transport is not None and not self._lingering:
             first = self._exchanges[0]
+            if first.has_waiting_parts:
+                if self._full_places:
+                    return  # the next free place calls this again
+                if first.write_waiting_parts():
+                    return
             if not first.is_ended:
                 self._apply_pause()
                 return
@@ -522,8 +530,6 @@
             if self._codec.closing:
                 self._close_after_response()
                 return
-            if self._exchanges and self._exchanges[0].write_waiting_parts():
-                return
         if self._lingering or self._transport is None:
             return
         if self._closing or self._server.draining or self._codec.has_excess_bytes:
@@ -679,6 +685,11 @@
         if call is not None:
             call.on_disconnect()
 
+    @property
+    def has_waiting_parts(self) -> bool:
+        """Whether parts of the response wait for the earlier responses, or for a free buffer."""
+        return bool(self._waiting_parts) or self._aborted
+
     def write_waiting_parts(self) -> bool:
         """Write the buffered parts, now that all earlier responses are complete.
 
