Read the store and activate alone on a host that hears no other node

Cause: a host that is no reader took over 15 s after the last beacon, and a reader waited for an acknowledgement until every peer counted as unreachable. Ruled out: a late watch; the version was read in time.

Change: isolation.py decides from the replies to the own calls whether the node hears anybody.

--- a/jaypost/daemon.py
+++ b/jaypost/daemon.py
@@ -247,6 +247,7 @@
             self.gossip.store_reader_place,
             node_settings,
             is_candidate=self.gossip.is_store_candidate,
+            is_isolated=lambda: self.gossip.is_isolated,
             source=self._integration.make_table_source(node_settings),
         )
         self.gossip.on_store_reading_changed = self.reader.notify_role_changed
--- a/jaypost/gossip.py
+++ b/jaypost/gossip.py
@@ -35,6 +35,8 @@
 )
 from jaypost.freshness import VersionFreshness
 from jaypost.hedging import start_in_turn
+from jaypost.isolation import PROBE_TIMEOUT_S as ISOLATION_PROBE_TIMEOUT_S
+from jaypost.isolation import IsolationTracker
 from jaypost.joining import SEEDS_JOINING_WAIT_S, Founded, Joiner, JoinOutcome, JoinServer
 from jaypost.logs import EventName
 from jaypost.messages import (
@@ -102,6 +104,9 @@
 SILENT_PEER_DELAY_S = 0.2
 # Nodes of another failure domain to which a version is pushed until one answers.
 VERSION_PEERS_PER_DOMAIN = 8
+# Nodes of the own failure domain, and of each other scope, that are asked whether they answer when
+# this node may be isolated.
+ISOLATION_PROBES = 2
 # Nodes that `replicate` and `replicate_record` push to; one acknowledgement is enough.
 REPLICA_COUNT = 2
 # Longest random wait after the beacon timeout, before a node that still receives no beacons becomes
@@ -251,6 +256,8 @@
         self._fallback_reader = False
         self._fallback_delay_s = rng.uniform(0.0, READER_FALLBACK_JITTER_S)
         self._election = ReaderElection(own.node_id, contact_limit_s(settings.watch_wait_s))
+        self._isolation = IsolationTracker(now)
+        self._isolated = asyncio.Event()
         self._version_lag = VersionLag()
         self._freshness = VersionFreshness()
         self._table_expected_until = 0.0
@@ -285,6 +292,7 @@
             self._push_loop,
             self._seed_loop,
             self._election_loop,
+            self._isolation_loop,
         ):
             self._spawn(loop())
 
@@ -335,7 +343,11 @@
         if not self._joined or self._view.own.state in (NodeState.LEAVING, NodeState.LEFT):
             return False
         readers = self._view.readers_of(self._view.own.failure_domain)
-        return self._own_id in readers or self._fallback_reader
+        return self._own_id in readers or self._reads_for_itself()
+
+    def _reads_for_itself(self) -> bool:
+        """Tell whether this node reads the store because it hears no reader, or no node at all."""
+        return self._fallback_reader or self._isolation.is_isolated
 
     def store_reader_place(self) -> int | None:
         """Return the place of this node among the nodes of its region that read the store.
@@ -347,7 +359,7 @@
         """
         if not self.is_reader():
             return None
-        if self._fallback_reader:
+        if self._reads_for_itself():
             return READERS_PER_REGION
         return self._election.place(candidates(self._view))
 
@@ -355,6 +367,11 @@
         """Tell whether this node reads the table from the store."""
         return self.store_reader_place() is not None
 
+    @property
+    def is_isolated(self) -> bool:
+        """Tell whether no other node has replied for a while."""
+        return self._isolation.is_isolated
+
     def reads_for_region(self) -> bool:
         """Tell whether this node reads the store, or would if no nearer region did."""
         if not self.is_reader():
@@ -421,7 +438,8 @@
     async def replicate(self) -> bool:
         """Push the held version to two nodes, nodes of the own failure domain first.
 
-        When these do not answer, nodes of other domains and regions get it as well.
+        When these do not answer, nodes of other domains and regions get it as well. The pushes of
+        an isolated node go on in the background.
 
         Returns
         -------
@@ -431,7 +449,15 @@
         """
         deltas = self._holder.deltas_since(self._pushed_version) or ()
         push = Push(self._own_id, deltas=deltas)
-        outcomes = await self._push_to_scopes(push, self._holder.held_version)
+        pushes = self._spawn(self._push_to_scopes(push, self._holder.held_version))
+        isolated = self._spawn(self._isolated.wait())
+        try:
+            await asyncio.wait({pushes, isolated}, return_when=asyncio.FIRST_COMPLETED)
+        finally:
+            isolated.cancel()
+        if not pushes.done():
+            return True
+        outcomes = pushes.result()
         if _Replication.ACKNOWLEDGED in outcomes:
             return True
         return _Replication.REFUSED not in outcomes and not self._has_reachable_peer()
@@ -497,7 +523,10 @@
         self, peer: NodeRecord, request: Any, timeout_s: float = CALL_TIMEOUT_S
     ) -> CallOutcome:
         link = link_between(self._view.own, peer.failure_domain, peer.region)
-        return await self._channels.call(peer.control_address, request, timeout_s, link)
+        outcome = await self._channels.call(peer.control_address, request, timeout_s, link)
+        if isinstance(outcome, Replied | Busy) or outcome.reason is FailureReason.REFUSED:
+            self._note_reply()
+        return outcome
 
     def _record_contact(self, node_id: str) -> AgedAccusation | None:
         """Note a contact with a node; return the accusation that it has to refute, if any."""
@@ -924,6 +953,36 @@
         )
         return isinstance(outcome, Replied) and outcome.message.node_id == node_id
 
+    # Isolation
+
+    async def _isolation_loop(self) -> None:
+        """Ask some peers when none has replied for a while; become isolated if none answers."""
+        while True:
+            wait_s = self._isolation.wait_s(time.monotonic())
+            if not self._joined or not self._has_reachable_peer():
+                wait_s = max(wait_s, self._settings.sync_interval_s)
+            if wait_s:
+                await asyncio.sleep(wait_s)
+                continue
+            started_at = time.monotonic()
+            peers = self._view.sample(self._rng, Scope.DOMAIN, ISOLATION_PROBES)
+            for scope in (Scope.REGION, Scope.CROSS_REGION):
+                peers += self._view.sample(self._rng, scope, ISOLATION_PROBES)
+            probes = [self._call(p, Ping(self._own_id), ISOLATION_PROBE_TIMEOUT_S) for p in peers]
+            await asyncio.gather(*probes, asyncio.sleep(ISOLATION_PROBE_TIMEOUT_S))
+            self._isolation.note_probes_ended(started_at)
+            if self._isolation.is_isolated and not self._isolated.is_set():
+                self._isolated.set()
+                log.warning(EventName.ISOLATION_CHANGED, node=self._own_id, isolated=True)
+                self.on_store_reading_changed()
+
+    def _note_reply(self) -> None:
+        self._isolation.note_reply(time.monotonic())
+        if self._isolated.is_set():
+            self._isolated.clear()
+            log.warning(EventName.ISOLATION_CHANGED, node=self._own_id, isolated=False)
+            self.on_store_reading_changed()
+
     # Nodes that read the store
 
     async def _election_loop(self) -> None:
--- a/jaypost/readers.py
+++ b/jaypost/readers.py
@@ -97,6 +97,8 @@
         Settings of the node.
     is_candidate : Callable[[], bool]
         Tells whether this node is a reader, or becomes one when others fail.
+    is_isolated : Callable[[], bool]
+        Tells whether this node hears no other node.
     source : TableSource
         Location and encoding of the newest version.
     rng : random.Random
@@ -129,6 +131,7 @@
         settings: Settings,
         *,
         is_candidate: Callable[[], bool] = lambda: False,
+        is_isolated: Callable[[], bool] = lambda: False,
         source: TableSource = HEAD_SOURCE,
         rng: random.Random | None = None,
         sleep: Callable[[float], Awaitable[None]] = asyncio.sleep,
@@ -141,6 +144,7 @@
         self._reader_place = reader_place
         self._settings = settings
         self._is_candidate = is_candidate
+        self._is_isolated = is_isolated
         self._source = source
         self._rng = rng or random.Random()
         self._sleep = sleep
@@ -229,10 +233,12 @@
         """Tell whether this node reads the store and has been a candidate for that for a while.
 
         While nodes start, each of them may be a reader for a moment. A node that holds no version
-        does not wait, and neither does one that has been standing by: the version that it reads
-        may be due soon.
+        does not wait, and neither does one that has been standing by or that hears no other node:
+        the version that it reads may be due soon.
         """
         is_reader = self._reader_place() is not None
+        if self._is_isolated():
+            return is_reader
         if not is_reader and not self._is_candidate():
             self._candidate_since = None
             return False
--- a/tests/test_lost_readers.py
+++ b/tests/test_lost_readers.py
@@ -184,6 +184,7 @@
             self.gossip.store_reader_place,
             self.settings,
             is_candidate=self.gossip.is_store_candidate,
+            is_isolated=lambda: self.gossip.is_isolated,
             source=SOURCE,
             rng=rng,
             clock=time.monotonic,
