Move a service to a new version step by step, and back when it is worse

Callers of a service in a roll-out were served by a bad version for as long as it was there: nothing read the operator's order.

Cause: versions of targets, orders and states were not known to jaypost.

Change: package jaypost/rollouts. The first reader of the store decides, writes each step under the condition of the previous one and publishes it in its record; the hosts of the targets compare both versions by route and refuse calls that a step excludes. jaypost rollout start and status for operators with our own table. In use only with exposure_share above 0. docs/design/rollouts.md has the reasons, messages and failures.

--- a/jaypost/announcements.py
+++ b/jaypost/announcements.py
@@ -62,6 +62,8 @@
     sequence : int
         Number of the announcement since that start, by which a late announcement is recognised;
         0 when unknown.
+    version : str
+        Version of the software of the target; empty when unknown.
     """
 
     service: str
@@ -71,6 +73,7 @@
     address: str = ""
     born: int = 0
     sequence: int = 0
+    version: str = ""
 
 
 @dataclass(frozen=True, slots=True)
@@ -216,6 +219,7 @@
         )
         self._own_host = settings.listen_caller.host
         self._own_service = settings.service
+        self._publishes_versions = settings.exposure_share > 0.0
 
     @property
     def targets(self) -> tuple[Target, ...]:
@@ -251,6 +255,8 @@
         if isinstance(announced, AnnouncementRefused):
             return self._refuse(message.target_id, announced)
         target = announced.target
+        if not self._publishes_versions:
+            target = replace(target, version="")
         if self._own_service and (target.service != self._own_service or not target.incarnation):
             reason = f"targets of this host belong to {self._own_service!r} and tell their start"
             mismatch = AnnouncementRefused(ErrorKind.BAD_REQUEST, reason)
@@ -485,6 +491,7 @@
         parsed.state,
         parsed.born,
         address.host,
+        parsed.version,
     )
     return Announcement(target, parsed.sequence)
 
@@ -503,6 +510,8 @@
         return "port must be between 1 and 65535"
     if not 0 <= body.born <= MAX_START_MS or not 0 <= body.sequence <= MAX_SEQUENCE:
         return f"born and sequence must be between 0 and {MAX_START_MS} and {MAX_SEQUENCE}"
+    if len(body.version) > MAX_NAME_CHARACTERS:
+        return f"version must have at most {MAX_NAME_CHARACTERS} characters"
     if not 1 <= body.slots <= MAX_SLOTS:
         return f"slots must be between 1 and {MAX_SLOTS}"
     if body.state not in ANNOUNCED_STATES:
--- a/jaypost/calls.py
+++ b/jaypost/calls.py
@@ -27,6 +27,8 @@
 MAY_QUEUE = b"x-jaypost-may-queue"
 # `CallClass` of the request, set by the ingress and in the response by the egress.
 CLASS = b"x-jaypost-class"
+# Row that the request matched, for a service in a roll-out.
+ROUTE = b"x-jaypost-route"
 # Table version that the ingress used.
 VERSION = b"x-jaypost-version"
 # Service that makes the call: that of the targets on the host of the ingress.
@@ -90,6 +92,10 @@
         Time in seconds from the head of the request to the end.
     hedged : bool
         Whether a second attempt was started while the first one still ran.
+    target_id : str
+        Target that was called (egress).
+    route : str
+        Row that the request matched (egress), if the service is in a roll-out.
     """
 
     request_id: str
@@ -105,6 +111,8 @@
     service_s: float
     total_s: float
     hedged: bool = False
+    target_id: str = ""
+    route: str = ""
 
 
 @dataclass(frozen=True, slots=True)
--- a/jaypost/cli.py
+++ b/jaypost/cli.py
@@ -25,6 +25,7 @@
 )
 from jaypost.formats import COLUMNS, FileFormat
 from jaypost.records import Address
+from jaypost.rollouts import commands as rollout_commands
 from jaypost.settings import parse_address
 
 DEFAULT_WATCH_TIMEOUT_S = 30.0
@@ -129,6 +130,9 @@
     _add_explain(subparsers)
     _add_events(subparsers)
     _add_watch(subparsers)
+    _add_rollout_actions(
+        subparsers.add_parser("rollout", help="move a service to targets of another version")
+    )
     return parser
 
 
@@ -185,6 +189,21 @@
     _add_table_commands(subparsers)
 
 
+def _add_rollout_actions(parser: argparse.ArgumentParser) -> None:
+    subparsers = parser.add_subparsers(metavar="ACTION", required=True)
+    start = _add_command(subparsers, "start", rollout_commands.start, "order a roll-out")
+    start.add_argument("service", metavar="SERVICE")
+    start.add_argument("version", metavar="VERSION", help="version that its targets announce")
+    start.add_argument(
+        "--within", type=float, required=True, metavar="SECONDS", help="time for the roll-out"
+    )
+    _add_store_flag(start)
+    status = _add_command(subparsers, "status", rollout_commands.status, "show the roll-outs")
+    status.add_argument("service", metavar="SERVICE", nargs="?")
+    _add_store_flag(status)
+    _add_output_flag(status)
+
+
 def _add_table_queries(subparsers: argparse._SubParsersAction[argparse.ArgumentParser]) -> None:
     get = _add_command(subparsers, "get", queries.table_get, "show rows")
     get.add_argument("services", metavar="SERVICE", nargs="*")
--- a/jaypost/config.py
+++ b/jaypost/config.py
@@ -17,6 +17,7 @@
 
 from jaypost import invariants, table
 from jaypost.records import (
+    Canary,
     Delta,
     Destination,
     PlacedTarget,
@@ -129,6 +130,7 @@
         self._in_force = table.EMPTY_TABLE
         self._activation_suspended = False
         self._targets_by_service: Mapping[str, tuple[PlacedTarget, ...]] = {}
+        self._canary_by_service: Mapping[str, Canary] = {}
         self._routes = RouteIndex()
         self.snapshot = Snapshot()
         self.minimum_held_version = 0
@@ -270,7 +272,7 @@
         if not self._is_whole_and_valid(candidate):
             return None
         routes = RouteIndex(candidate.rows_by_service.values())
-        if not self._replace_snapshot(_build_snapshot(candidate, self._targets_by_service, routes)):
+        if not self._replace_snapshot(self._build_snapshot(candidate, routes)):
             return None
         self._in_force = candidate
         self._routes = routes
@@ -280,12 +282,21 @@
             self.on_version_in_force(candidate.version)
         return Applied(candidate.version)
 
-    def update_targets(self, targets_by_service: Mapping[str, tuple[PlacedTarget, ...]]) -> None:
-        """Rebuild the snapshot of the version in force with the targets known now."""
+    def update_targets(
+        self,
+        targets_by_service: Mapping[str, tuple[PlacedTarget, ...]],
+        canary_by_service: Mapping[str, Canary] | None = None,
+    ) -> None:
+        """Rebuild the snapshot of the version in force with the targets known now.
+
+        `canary_by_service` has the services of which a group of targets gets a share.
+        """
         self._targets_by_service = _without_gone_targets(targets_by_service)
-        self._replace_snapshot(
-            _build_snapshot(self._in_force, self._targets_by_service, self._routes)
-        )
+        self._canary_by_service = canary_by_service or {}
+        self._replace_snapshot(self._build_snapshot(self._in_force, self._routes))
+
+    def _build_snapshot(self, source: Table, routes: RouteIndex) -> Snapshot:
+        return _build_snapshot(source, self._targets_by_service, routes, self._canary_by_service)
 
     @singledispatchmethod
     def _apply_offer(self, message: object) -> Held | Stale | Gap | RefusedVersion:
@@ -411,6 +422,7 @@
     source: Table,
     targets_by_service: Mapping[str, tuple[PlacedTarget, ...]],
     routes: RouteIndex,
+    canary_by_service: Mapping[str, Canary],
 ) -> Snapshot:
     """Join a version with the known targets; destinations without targets become pending."""
     destinations_by_service = {}
@@ -432,6 +444,7 @@
         pending_by_service,
         targets_by_service,
         routes,
+        canary_by_service,
     )
 
 
--- a/jaypost/console.py
+++ b/jaypost/console.py
@@ -103,6 +103,18 @@
             raise UsageError("the store is not set; use --store IP:PORT or JAYPOST_STORE")
         return self.open_writer(self.store)
 
+    def store_client(self) -> AbstractAsyncContextManager[StoreClient]:
+        """Return a context manager that opens a client of the store.
+
+        Raises
+        ------
+        UsageError
+            If no store address is set.
+        """
+        if self.store is None:
+            raise UsageError("the store is not set; use --store IP:PORT or JAYPOST_STORE")
+        return open_store(self.store)
+
     def print_json(self, value: object) -> None:
         """Print `value` as one line of JSON."""
         print(encode(value).decode(), file=self.out, flush=True)
@@ -257,11 +269,18 @@
 
 
 @asynccontextmanager
-async def open_writer(address: Address) -> AsyncIterator[TableWriter]:
-    """Open a table writer on the store at `address`, and close its client at the end."""
+async def open_store(address: Address) -> AsyncIterator[StoreClient]:
+    """Open a client of the store at `address`, and close it at the end."""
     client = StoreClient(address, STORE_TIMEOUT_S)
     await client.start()
     try:
-        yield TableWriter(client)
+        yield client
     finally:
         await client.close()
+
+
+@asynccontextmanager
+async def open_writer(address: Address) -> AsyncIterator[TableWriter]:
+    """Open a table writer on the store at `address`, and close its client at the end."""
+    async with open_store(address) as client:
+        yield TableWriter(client)
--- a/jaypost/daemon.py
+++ b/jaypost/daemon.py
@@ -61,6 +61,9 @@
 )
 from jaypost.reloading import SettingsReloader
 from jaypost.retries import RetryPolicy
+from jaypost.rollouts.coordinator import RolloutCoordinator
+from jaypost.rollouts.fleet import GossipFleet
+from jaypost.rollouts.guard import RolloutGuard
 from jaypost.seeds import StoreSeeds
 from jaypost.settings import LoadedSettings, RefusedSettings, Settings
 from jaypost.store import StoreCallEnded
@@ -172,11 +175,15 @@
             Admission(),
             FleetLimits(),
             self._snapshot,
-            self.metrics.execution_ended,
+            self._on_execution_ended,
             integration.target_dialect,
             self.uplink,
         )
         self.announcements.on_target_alive = self.egress.record_target_alive
+        self._incarnation = time.time_ns() // 1_000_000
+        self.rollouts = RolloutGuard(node_settings.node_id, self._incarnation)
+        self.egress.excludes = self.rollouts.excludes
+        self.coordinator: RolloutCoordinator | None = None
         self.claims = Claims(self.store, node_settings.claim_rate)
         self.ingress = Ingress(
             node_settings,
@@ -222,7 +229,7 @@
             node_settings.advertise_peer or peer_address,
             node_settings.advertise_control or node_settings.listen_control,
             node_settings.advertise_admin or self.admin.address,
-            Stamp(time.time_ns() // 1_000_000, 1),
+            Stamp(self._incarnation, 1),
             NodeState.JOINING,
             self.announcements.targets,
         )
@@ -254,8 +261,22 @@
         self.gossip.store_contact_age_s = self._store_contact_age_s
         self.gossip.store_round_trip_s = lambda: self.store.round_trip_s
         self.gossip.read_newest_at = lambda: self.reader.newest_at
+        if node_settings.exposure_share:
+            self._start_rollouts(node_settings.exposure_share)
         await self.gossip.start()
 
+    def _start_rollouts(self, exposure_share: float) -> None:
+        self.gossip.on_rollout_query = lambda step: self.rollouts.report(
+            step, self.egress.calls_by_target(), time.monotonic()
+        )
+        self.coordinator = RolloutCoordinator(
+            self.store,
+            self._integration.rollout_keys,
+            GossipFleet(self.gossip, self.view, self.rollouts, lambda: self._ready),
+            exposure_share,
+        )
+        self.coordinator.start()
+
     def _store_contact_age_s(self) -> float | None:
         contact = self.reader.last_contact
         return None if contact is None else time.monotonic() - contact
@@ -319,6 +340,8 @@
         for task in tasks:
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
+        if self.coordinator is not None:
+            await self.coordinator.close()
         await self.reader.close()
         await self.ingress.close()
         await self.egress.close()
@@ -485,6 +508,7 @@
         metrics.ejections_changed(
             {service: self.health.ejected_count(service, now) for service in services}
         )
+        metrics.rollouts_changed({step.service: step.share for step in self.rollouts.steps()})
         self._count_offer_outcomes(metrics)
 
     def _count_offer_outcomes(self, metrics: Metrics) -> None:
@@ -515,7 +539,10 @@
         for node_id in self._unreachable_ids - unreachable:
             self.events.record(EventName.NODE_REACHABLE, node_id=node_id)
         self._unreachable_ids = unreachable
-        self.holder.update_targets(self.view.targets_by_service(time.monotonic()))
+        if self.rollouts.offer(self.view.rollout_steps(), time.monotonic()):
+            self.egress.refuse_excluded_calls()
+        routed = self.rollouts.route(self.view.targets_by_service(time.monotonic()))
+        self.holder.update_targets(routed.targets_by_service, routed.canary_by_service)
 
     def _on_store_call_ended(self, call: StoreCallEnded) -> None:
         outcome = StoreOutcome.DONE if call.status else StoreOutcome.FAILED
@@ -534,6 +561,10 @@
         name = EventName.STORE_AVAILABLE if available else EventName.STORE_UNAVAILABLE
         self.events.record(name, operation=call.operation, status=call.status)
 
+    def _on_execution_ended(self, call: CallEnded) -> None:
+        self.metrics.execution_ended(call)
+        self.rollouts.record(call, self.egress.target_by_id.get(call.target_id))
+
     def _on_call_ended(self, call: CallEnded) -> None:
         self.metrics.call_ended(call)
         if call.hedged:
--- a/jaypost/egress.py
+++ b/jaypost/egress.py
@@ -46,6 +46,7 @@
     RATE,
     REQUEST_ID,
     RETRY,
+    ROUTE,
     SHED,
     TARGET,
     TENANT,
@@ -188,6 +189,8 @@
         self._target = target
         if egress.refuses_calls or target.state is TargetState.DRAINING:
             return ErrorKind.DRAINING
+        if egress.excludes(target):
+            return ErrorKind.DRAINING
         if target.state is not TargetState.READY:
             return ErrorKind.WRONG_TARGET
         self._row = egress.snapshot().rows_by_service.get(target.service)
@@ -612,6 +615,8 @@
                 started_at - self._opened_at,
                 now - started_at,
                 now - self._opened_at,
+                target_id=self.target_id,
+                route=self._head.control.get(ROUTE, b"").decode("latin-1"),
             )
         )
         self._exchange = None  # breaks the reference cycle of call, exchange and receiver
@@ -740,6 +745,8 @@
         self._drain_ends_at = float("inf")
         # Called with the id of a target for each response in which it says that it leaves.
         self.on_target_leaving: Callable[[str], None] = lambda target_id: None
+        # Tells whether a roll-out lets no request go to a target.
+        self.excludes: Callable[[Target], bool] = lambda target: False
         self.target_by_id: dict[str, Target] = {}
         self.own_slots_by_service: dict[str, int] = {}
         self._announced_targets: tuple[Target, ...] = ()
@@ -805,6 +812,17 @@
             if call is not None and call.target_id == target_id:
                 call.leave_queue(kind)
 
+    def refuse_excluded_calls(self) -> None:
+        """Refuse the queued calls at targets that a roll-out excludes."""
+        for target in self.target_by_id.values():
+            if self.excludes(target):
+                self._refuse_queued_calls(target.target_id, ErrorKind.DRAINING)
+
+    def calls_by_target(self) -> tuple[tuple[Target, int], ...]:
+        """Return the calls that wait or are in execution at each target of the host."""
+        loads = [(target, self.admission.load(i)) for i, target in self.target_by_id.items()]
+        return tuple((target, load.busy + load.queued) for target, load in loads)
+
     def record_broken_connection(self, target_id: str) -> None:
         """Count a connection that a target closed without a response or did not accept."""
         if self.breakers.record_failure(target_id, self.clock()):
--- a/jaypost/gossip.py
+++ b/jaypost/gossip.py
@@ -58,6 +58,8 @@
     PushReply,
     PushTable,
     RecordPiece,
+    RolloutQuery,
+    RolloutReport,
     StatusReply,
     StatusRequest,
     StatusScope,
@@ -78,7 +80,16 @@
     Replied,
     unpack,
 )
-from jaypost.records import Accusation, Address, Delta, NodeRecord, NodeState, Table, Target
+from jaypost.records import (
+    Accusation,
+    Address,
+    Delta,
+    NodeRecord,
+    NodeState,
+    RolloutStep,
+    Table,
+    Target,
+)
 from jaypost.seeds import Seed, SeedDirectory
 from jaypost.settings import Settings
 from jaypost.status import StatusCollector
@@ -220,6 +231,8 @@
         after which the node held the newest version; None before the first.
     on_store_reading_changed : Callable[[], None]
         Called when a check changed whether this node reads the table from the store.
+    on_rollout_query : Callable[[RolloutStep], RolloutReport or None]
+        Returns the report of this node about a service in a roll-out; None without roll-outs.
     """
 
     def __init__(
@@ -275,6 +288,7 @@
         self.store_round_trip_s: Callable[[], float | None] = lambda: None
         self.read_newest_at: Callable[[], float | None] = lambda: None
         self.on_store_reading_changed: Callable[[], None] = lambda: None
+        self.on_rollout_query: Callable[[RolloutStep], RolloutReport | None] = lambda step: None
 
     # Life cycle
 
@@ -418,13 +432,31 @@
                 return
 
     def publish(
-        self, state: NodeState | None = None, targets: tuple[Target, ...] | None = None
+        self,
+        state: NodeState | None = None,
+        targets: tuple[Target, ...] | None = None,
+        rollouts: tuple[RolloutStep, ...] | None = None,
     ) -> NodeRecord:
         """Change the own record and queue it for the next push."""
-        record = self._view.update_own(state, targets)
+        record = self._view.update_own(state, targets, rollouts=rollouts)
         self._queue_records(record)
         return record
 
+    async def ask_rollout_report(
+        self, node_id: str, step: RolloutStep, timeout_s: float
+    ) -> RolloutReport | None:
+        """Ask a node about its targets in a roll-out; None when it does not answer."""
+        if node_id == self._own_id:
+            return self.on_rollout_query(step)
+        peer = self._view.get(node_id)
+        if peer is None:
+            return None
+        outcome = await self._call(peer, RolloutQuery(self._own_id, step), timeout_s)
+        if not isinstance(outcome, Replied) or outcome.message.node_id != node_id:
+            return None
+        report: RolloutReport = outcome.message
+        return report
+
     async def leave(self) -> None:
         """Publish `leaving` unless it was published, then push `left` and wait for the replies."""
         if self._view.own.state not in (NodeState.LEAVING, NodeState.LEFT):
@@ -1211,6 +1243,7 @@
             piece = unpack(data, RecordPiece)
             self._merge_records(piece.records, piece.left_age_by_id, spread=False)
             await asyncio.sleep(0)  # unpacking all pieces at once would block the event loop
+        self._view.merge_rollout_steps(reply.rollouts)
         if reply.table:
             self._offer_table(unpack(reply.table, Table), reply.node_id)
         self._apply_accusations(reply.accusations)
@@ -1341,6 +1374,7 @@
             self._beacon_tracker.fresh(now) if same_domain else (),
             previous,
             self._newest_age_s(),
+            self._view.rollout_steps(),
         )
 
     def _table_for_join(self, joining: NodeRecord) -> bytes:
@@ -1358,6 +1392,13 @@
         has_table = self._holder.held_version > 0
         return FetchTableReply(self._holder.table_for_replies if has_table else None)
 
+    @_handle.register
+    async def _(self, request: RolloutQuery) -> RolloutReport | Declined:
+        self._view.merge_rollout_steps((request.step,))
+        self._schedule_notification()
+        report = self.on_rollout_query(request.step)
+        return report if report is not None else Declined("roll-outs are not in use")
+
     @_handle.register
     async def _(self, request: StatusRequest) -> StatusReply:
         if request.scope is StatusScope.DOMAIN:
--- a/jaypost/ingress.py
+++ b/jaypost/ingress.py
@@ -33,6 +33,7 @@
     RATE,
     REQUEST_ID,
     RETRY,
+    ROUTE,
     RUN,
     TARGET,
     TENANT,
@@ -240,6 +241,7 @@
         "_final",
         "_first_byte_timer",
         "_forwarding_body",
+        "_group",
         "_head",
         "_hedge_timer",
         "_hedged",
@@ -280,6 +282,8 @@
         self._request_id = b""
         self._service = ""
         self._destination = ""
+        # Key of the targets for the next attempt: the service, or those of a new version of it.
+        self._group = ""
         self._tenant = DEFAULT_TENANT
         self._call_class = CallClass.SHORT
         self._row: Row | None = None
@@ -371,6 +375,9 @@
         known = destination in snapshot.rows_by_service
         if not check(known, "P2_destination_without_row", destination=destination):
             return ErrorKind.NO_TARGET
+        canary = snapshot.canary_by_service.get(destination)
+        use_canary = canary is not None and self._ingress.rng.random() < canary.share
+        self._group = canary.group if canary is not None and use_canary else destination
         self._inside_retry = RETRY in self._head.control
         if row.long_prefixes and self._head.target.startswith(row.long_prefixes):
             self._call_class = CallClass.LONG
@@ -553,21 +560,16 @@
             return
         chosen: Chosen | NoTarget | None = self._local_target_for_large_response()
         if chosen is None:
-            chosen = ingress.placement.choose(
-                ChooseTarget(
-                    self._destination,
-                    self._targets(),
-                    row.spill,
-                    self._tried_target_ids,
-                    self._undelivered_attempts >= undelivered_attempt_limit(row),
-                    now,
-                    self._call_class is CallClass.LONG,
-                )
-            )
+            chosen = self._choose_target(row, now)
+        if isinstance(chosen, NoTarget) and self._group != self._destination:
+            self._group = self._destination
+            chosen = self._choose_target(row, now)
         if isinstance(chosen, NoTarget):
             if not hedge:
                 self._fail(self._last_error_kind or chosen.kind)
             return
+        # Only the first attempt may go to a new version, so that its faults cost fewer requests.
+        self._group = self._destination
         self._attempt_count += 1
         self._tried_target_ids = self._tried_target_ids | {chosen.target.target.target_id}
         self._last_dispatch_at = now
@@ -578,8 +580,21 @@
         self._hedged = self._hedged or hedge
         self._send(attempt, row, now, hedge)
 
+    def _choose_target(self, row: Row, now: float) -> Chosen | NoTarget:
+        return self._ingress.placement.choose(
+            ChooseTarget(
+                self._group,
+                self._targets(),
+                row.spill,
+                self._tried_target_ids,
+                self._undelivered_attempts >= undelivered_attempt_limit(row),
+                now,
+                self._call_class is CallClass.LONG,
+            )
+        )
+
     def _targets(self) -> tuple[PlacedTarget, ...]:
-        return self._snapshot.targets_by_service.get(self._destination, ())
+        return self._snapshot.targets_by_service.get(self._group, ())
 
     def _local_target_for_large_response(self) -> Chosen | None:
         """Return a target of this host for a first attempt with a large response, otherwise None.
@@ -634,6 +649,8 @@
             CALLER: self._ingress.settings.service.encode(),
             PRIORITY: b"%d" % self._row.priority,
         }
+        if self._destination in self._snapshot.canary_by_service:
+            control[ROUTE] = self._row.service.encode()
         rate = self._ingress.rate_by_target_id.get(attempt.placed.target.target_id)
         if rate is not None:
             control[RATE] = rate
--- a/jaypost/integration.py
+++ b/jaypost/integration.py
@@ -10,13 +10,15 @@
 from jaypost.departures import DepartureStore
 from jaypost.readers import HEAD_SOURCE, TableSource
 from jaypost.records import Address
+from jaypost.rollouts.coordinator import RolloutStore
+from jaypost.rollouts.orders import DEFAULT_ROLLOUT_KEYS, RolloutKeys
 from jaypost.seeds import SeedStore
 from jaypost.settings import Settings
 from jaypost.store import Store, StoreCallEnded
 from jaypost.store_client import StoreClient
 
 
-class NodeStore(Store, SeedStore, DepartureStore, Protocol):
+class NodeStore(Store, SeedStore, DepartureStore, RolloutStore, Protocol):
     """Store client with all calls that a node makes.
 
     Attributes
@@ -51,12 +53,15 @@
         of the node.
     caller_dialect, target_dialect : HeaderDialect or None
         Header names on connections of callers and of targets; None for jaypost's own names.
+    rollout_keys : RolloutKeys
+        Keys of the orders and states of roll-outs.
     """
 
     make_store: StoreFactory = StoreClient
     make_table_source: Callable[[Settings], TableSource] = lambda _: HEAD_SOURCE
     caller_dialect: HeaderDialect | None = None
     target_dialect: HeaderDialect | None = None
+    rollout_keys: RolloutKeys = DEFAULT_ROLLOUT_KEYS
 
 
 DEFAULT_INTEGRATION = Integration()
--- a/jaypost/messages.py
+++ b/jaypost/messages.py
@@ -10,7 +10,8 @@
 from dataclasses import dataclass, field
 from enum import StrEnum
 
-from jaypost.records import Address, Delta, NodeRecord, NodeState, Stamp, Table
+from jaypost.records import Address, Delta, NodeRecord, NodeState, RolloutStep, Stamp, Table
+from jaypost.rollouts.evidence import RouteEvidence
 from jaypost.view import AgedAccusation
 
 
@@ -266,6 +267,8 @@
         Record that the receiver had of the joining node before this `Join`.
     newest_age_s : float or None
         As in `SyncReply`.
+    rollouts : tuple of RolloutStep
+        Newest known step of each roll-out.
     """
 
     node_id: str
@@ -276,6 +279,7 @@
     beacons: tuple[Beacon, ...] = ()
     previous: NodeRecord | None = None
     newest_age_s: float | None = None
+    rollouts: tuple[RolloutStep, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
@@ -335,3 +339,37 @@
     """Status of the nodes asked for."""
 
     statuses: tuple[NodeStatus, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class RolloutQuery:
+    """Ask a node about its targets of a service in a roll-out; it also learns the step."""
+
+    sender: str
+    step: RolloutStep
+
+
+@dataclass(frozen=True, slots=True)
+class RolloutReport:
+    """What a node saw at its targets of a service since the order of the step.
+
+    Parameters
+    ----------
+    node_id : str
+        Identifier of the node.
+    incarnation : int
+        Incarnation of the node; its counts start from zero with each one.
+    number : int
+        Number of the step that the node follows.
+    excluded_calls : int
+        Calls that wait or are in execution at targets of a version that the step excludes.
+    new, old : tuple of RouteEvidence
+        Results at targets of the new version, and of other versions.
+    """
+
+    node_id: str
+    incarnation: int
+    number: int
+    excluded_calls: int
+    new: tuple[RouteEvidence, ...] = ()
+    old: tuple[RouteEvidence, ...] = ()
--- a/jaypost/metrics.py
+++ b/jaypost/metrics.py
@@ -182,6 +182,9 @@
         self._versions_stale = self._counter(
             "versions_stale_total", "Offers not newer than in force"
         )
+        self._rollout_share = self._gauge(
+            "rollout_share", "Fraction of the requests that go to the new version of a service"
+        )
         self._control_bytes = self._counter(
             "control_bytes_total", "Control bytes, by kind and link"
         )
@@ -247,6 +250,10 @@
         """Set the number of targets of each service that this node has ejected."""
         self._set_all(self._ejected_targets, "service", ejected_by_service)
 
+    def rollouts_changed(self, share_by_service: Mapping[str, float]) -> None:
+        """Set the share that the new version of each service gets, as this node knows it."""
+        self._set_all(self._rollout_share, "service", share_by_service)
+
     def version_applied(self, version: int, lag_s: float | None) -> None:
         """Set the version in force and record its convergence lag.
 
--- a/jaypost/records.py
+++ b/jaypost/records.py
@@ -235,6 +235,8 @@
         Start time of the target in milliseconds since 1970; 0 when unknown.
     host : str
         IP address at which the node of the host reaches the target.
+    version : str
+        Version of the software of the target; empty when roll-outs are not in use.
     """
 
     target_id: str
@@ -244,6 +246,60 @@
     state: TargetState
     incarnation: int = 0
     host: str = LOOPBACK
+    version: str = ""
+
+
+class RolloutPhase(StrEnum):
+    """Phase of a roll-out: in progress, or one of its two ends."""
+
+    RUNNING = "running"
+    SUCCEEDED = "succeeded"
+    ROLLED_BACK = "rolled_back"
+
+
+@dataclass(frozen=True, slots=True)
+class RolloutStep:
+    """What every node does with the versions of one service, from one decision of a roll-out on.
+
+    Parameters
+    ----------
+    service : str
+        Service whose requests are moved.
+    version : str
+        Version that the requests are moved to.
+    baseline : str
+        Version that the targets had before.
+    phase : RolloutPhase
+        Phase of the roll-out.
+    share : float
+        Fraction of the requests that go to `version`, 0 to 1.
+    order : int
+        Revision of the operator's order in the store.
+    number : int
+        Number of this step within the order, from 1.
+    era : int
+        Era of the store in which the order was read; see `jaypost.store.StoreEra`.
+    """
+
+    service: str
+    version: str
+    baseline: str
+    phase: RolloutPhase
+    share: float
+    order: int
+    number: int
+    era: int = 0
+
+    def newer_than(self, other: RolloutStep) -> bool:
+        """Return whether this step replaces `other`, a step for the same service.
+
+        Two nodes may decide on a step of the same number while one of them does not reach the
+        store. Only the other one can succeed, so that its step goes first.
+        """
+        return self._rank() > other._rank()
+
+    def _rank(self) -> tuple[int, int, int, bool]:
+        return (self.era, self.order, self.number, self.phase is RolloutPhase.SUCCEEDED)
 
 
 @dataclass(frozen=True, slots=True)
@@ -263,7 +319,8 @@
     """State of a node and its targets, as known to the fleet. Only the node itself changes it.
 
     Other nodes send requests for its targets to `peer_address` and control messages to
-    `control_address`; its admin server listens on `admin_address`.
+    `control_address`; its admin server listens on `admin_address`. `rollouts` has the steps that
+    the node decided on.
     """
 
     node_id: str
@@ -275,6 +332,7 @@
     stamp: Stamp
     state: NodeState
     targets: tuple[Target, ...] = ()
+    rollouts: tuple[RolloutStep, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
@@ -330,6 +388,22 @@
         return None
 
 
+@dataclass(frozen=True, slots=True)
+class Canary:
+    """Targets of a new version that get a share of the requests of a service.
+
+    Parameters
+    ----------
+    group : str
+        Key of these targets in `Snapshot.targets_by_service`.
+    share : float
+        Fraction of the requests of the service, 0 to 1.
+    """
+
+    group: str
+    share: float
+
+
 @dataclass(frozen=True, slots=True)
 class Snapshot:
     """The configuration that requests use: one table version joined with the known targets.
@@ -348,6 +422,8 @@
         Known targets.
     routes : RouteIndex
         Rows of that version, indexed by host and path prefix.
+    canary_by_service : Mapping[str, Canary]
+        Services with a roll-out in progress, and where its share of the requests goes.
     """
 
     version: int = 0
@@ -356,6 +432,7 @@
     pending_by_service: Mapping[str, tuple[str, ...]] = field(default_factory=dict)
     targets_by_service: Mapping[str, tuple[PlacedTarget, ...]] = field(default_factory=dict)
     routes: RouteIndex = field(default_factory=RouteIndex)
+    canary_by_service: Mapping[str, Canary] = field(default_factory=dict)
 
 
 @dataclass(frozen=True, slots=True)
--- a/jaypost/settings.py
+++ b/jaypost/settings.py
@@ -81,6 +81,7 @@
     drain_bound_ms: int
     grace_s: float
     retry_ratio: float
+    exposure_share: float
     link_mbps: float
     max_files: int
     log_level: str
@@ -350,6 +351,12 @@
         _number_parser(float, 0, 1),
         "retries that the targets of a service accept, as a fraction of its calls",
     ),
+    "exposure_share": Setting(
+        "0",
+        _number_parser(float, 0, 1),
+        "largest fraction of the requests of a service that a bad version may get in a roll-out; "
+        "0 when roll-outs are not in use",
+    ),
     "link_mbps": Setting(
         "0",
         _number_parser(float, 0, 1_000_000),
--- a/jaypost/store.py
+++ b/jaypost/store.py
@@ -100,6 +100,14 @@
     entries: tuple[StoreEntry, ...]
 
 
+@dataclass(frozen=True, slots=True)
+class PrefixRead:
+    """All keys that start with a prefix, and the revision from which a watch of it continues."""
+
+    entries: tuple[StoreEntry, ...]
+    revision: int
+
+
 @dataclass(frozen=True, slots=True)
 class LeaseGranted:
     """A new lease. Keys written with it are deleted when it is revoked or not renewed in time."""
@@ -122,6 +130,7 @@
 PutOutcome = Stored | Conflict | StoreFailed
 DeleteOutcome = Stored | Missing | Conflict | StoreFailed
 ListOutcome = Listed | StoreFailed
+PrefixOutcome = PrefixRead | Unchanged | StoreFailed
 GrantOutcome = LeaseGranted | StoreFailed
 RenewOutcome = LeaseHeld | LeaseExpired | StoreFailed
 
--- a/jaypost/store_client.py
+++ b/jaypost/store_client.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import base64
 from urllib.parse import quote
 
@@ -19,6 +20,8 @@
     Listed,
     ListOutcome,
     Missing,
+    PrefixOutcome,
+    PrefixRead,
     PutOutcome,
     RenewOutcome,
     Stored,
@@ -29,6 +32,9 @@
 )
 from jaypost.store_connections import StoreCall, StoreConnections, unexpected_status
 
+# Interval in seconds at which a watched prefix is listed.
+PREFIX_POLL_S = 1.0
+
 
 class _ListedEntry(msgspec.Struct):
     key: str
@@ -141,6 +147,26 @@
             return call.failure(f"malformed listing: {error}")
         return Listed(tuple(entries))
 
+    async def watch_prefix(self, prefix: str, after_revision: int, wait_s: float) -> PrefixOutcome:
+        """Wait until a key under `prefix` is written after `after_revision`, then read all.
+
+        The store has no watch of a prefix, so the keys are listed every `PREFIX_POLL_S`. A deletion
+        is seen with the next write.
+        """
+        waited_s = 0.0
+        while True:
+            listed = await self.list(prefix)
+            if isinstance(listed, StoreFailed):
+                return listed
+            newest = max((entry.revision for entry in listed.entries), default=0)
+            if newest > after_revision:
+                return PrefixRead(listed.entries, newest)
+            if waited_s >= wait_s:
+                return Unchanged(after_revision)
+            pause_s = min(PREFIX_POLL_S, wait_s - waited_s)
+            await asyncio.sleep(pause_s)
+            waited_s += pause_s
+
     async def grant_lease(self, ttl_s: float) -> GrantOutcome:
         """Create a lease that expires `ttl_s` seconds after its creation or last renewal."""
         call = StoreCall("POST", "/v1/leases", {"ttl_ms": str(round(ttl_s * 1000))})
--- a/jaypost/view.py
+++ b/jaypost/view.py
@@ -25,6 +25,7 @@
     NodeRecord,
     NodeState,
     PlacedTarget,
+    RolloutStep,
     Stamp,
     Target,
     TargetState,
@@ -196,6 +197,7 @@
         self._stale_services: set[str] = set()
         self._cached_targets: Mapping[str, tuple[PlacedTarget, ...]] = MappingProxyType({})
         self._readers_by_domain: dict[str, tuple[str, ...]] = {}
+        self._rollout_step_by_service: dict[str, RolloutStep] = {}
         # Number of changes of the reachability of nodes and of records, except for changes of the
         # stamp alone.
         self.change_count = 0
@@ -225,6 +227,7 @@
         state: NodeState | None = None,
         targets: tuple[Target, ...] | None = None,
         control_address: Address | None = None,
+        rollouts: tuple[RolloutStep, ...] | None = None,
     ) -> NodeRecord:
         """Change the own record and increment the sequence of its stamp."""
         own = self.own
@@ -233,6 +236,7 @@
             state=own.state if state is None else state,
             targets=own.targets if targets is None else targets,
             control_address=control_address or own.control_address,
+            rollouts=own.rollouts if rollouts is None else rollouts,
             stamp=Stamp(own.stamp.incarnation, own.stamp.sequence + 1),
         )
         self._store(record)
@@ -320,9 +324,22 @@
             self._remove_from_indexes(previous)
         self._entry_by_id[record.node_id] = entry
         self._add_to_indexes(entry)
+        self.merge_rollout_steps(record.rollouts)
         if previous is None or self._differs_beyond_stamp(previous.record, record):
             self._mark_changed(record.node_id)
 
+    def merge_rollout_steps(self, steps: Iterable[RolloutStep]) -> None:
+        """Keep the newest known step of each service, also when its decider is gone."""
+        for step in steps:
+            known = self._rollout_step_by_service.get(step.service)
+            if known is None or step.newer_than(known):
+                self._rollout_step_by_service[step.service] = step
+                self.change_count += 1
+
+    def rollout_steps(self) -> tuple[RolloutStep, ...]:
+        """Return the newest known step of each service that has or had a roll-out."""
+        return tuple(self._rollout_step_by_service.values())
+
     @staticmethod
     def _differs_beyond_stamp(before: NodeRecord, after: NodeRecord) -> bool:
         return replace(before, stamp=after.stamp) != after
--- a/tests/test_platform_store.py
+++ b/tests/test_platform_store.py
@@ -18,6 +18,7 @@
     LeaseHeld,
     Listed,
     Missing,
+    PrefixRead,
     Stored,
     StoreFailed,
     Unchanged,
@@ -195,3 +196,23 @@
     assert isinstance(await client.get("a"), StoreFailed)
     assert isinstance(await client.watch("a", 1, 0.05), StoreFailed)
     assert isinstance(await client.grant_lease(1.0), StoreFailed)
+
+
+async def test_watch_of_a_prefix_returns_all_its_keys_after_a_change(
+    server: PlatformStoreServer, client: KvStore
+) -> None:
+    """Guards against an order that is seen late or not at all."""
+    await client.put("orders/a", b"1", None)
+    read = await client.watch_prefix("orders/", 0, 1.0)
+    assert isinstance(read, PrefixRead) and len(read.entries) == 1
+    await client.put("other", b"", None)
+    assert isinstance(await client.watch_prefix("orders/", read.revision, 0.05), Unchanged)
+    waiting = asyncio.create_task(client.watch_prefix("orders/", read.revision, 5.0))
+    await asyncio.sleep(0.05)
+    await client.put("orders/b", b"2", None)
+    changed = await waiting
+    assert isinstance(changed, PrefixRead)
+    assert [entry.key for entry in changed.entries] == ["orders/a", "orders/b"]
+    server.discard_history()
+    again = await client.watch_prefix("orders/", read.revision, 5.0)
+    assert isinstance(again, PrefixRead) and len(again.entries) == 2
