--- /dev/null
+++ b/jaypost/allotments/buckets.py
@@ -0,0 +1,205 @@
+"""Use of leased shares on one host: which requests are within the allotment of their workspace.
+
+The module does no input or output, and time is passed in.
+"""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Iterable
+from dataclasses import dataclass
+
+from jaypost.allotments.shares import LEASE_S, Demand, Grant
+from jaypost.workspaces.keys import Workspace
+
+# Tokens that a host keeps, in seconds of its rate; at least one, so that one request can pass.
+CAPACITY_S = 0.25
+# Time constant of the estimate of the demand.
+DEMAND_TIME_S = 1.0
+# A workspace without requests for this long gives its share back.
+IDLE_S = 3.0
+# Time in seconds after a grant for which a host does not ask for more tokens, and the same when the
+# divider could not give what was asked.
+ASK_PAUSE_S = 0.25
+PRESSED_ASK_PAUSE_S = 1.0
+# Shortest and longest time in seconds after which a refused caller is asked to come back.
+MIN_RETRY_AFTER_S = 0.1
+MAX_RETRY_AFTER_S = 5.0
+
+
+@dataclass(frozen=True, slots=True)
+class Taken:
+    """The request is within the allotment."""
+
+
+@dataclass(frozen=True, slots=True)
+class Short:
+    """No token is here now, but the divider may have some."""
+
+
+@dataclass(frozen=True, slots=True)
+class OverAllotment:
+    """The allotment is used up; there is room for the request after `retry_after_s` seconds."""
+
+    retry_after_s: float
+
+
+TakeOutcome = Taken | Short | OverAllotment
+
+
+@dataclass(slots=True)
+class _Bucket:
+    """Share of one workspace on this host.
+
+    `waiting` is the number of requests that wait for the next grant, `is_pressed` tells whether the
+    last one was less than was asked for, and `returns_at` is the time for which the last refused
+    caller was asked to come back.
+    """
+
+    workspace: Workspace
+    refilled_at: float
+    rate: float = 0.0
+    granted_limit: float = 0.0
+    expires_at: float = float("-inf")
+    granted_at: float = float("-inf")
+    tokens: float = 0.0
+    demand: float = 0.0
+    demand_at: float = 0.0
+    last_request_at: float = float("-inf")
+    waiting: int = 0
+    is_pressed: bool = False
+    returns_at: float = float("-inf")
+
+
+class ShareBuckets:
+    """Shares of all workspaces on this host.
+
+    Parameters
+    ----------
+    fallback_fraction : float
+        Fraction of a limit that the hosts which hold no lease may use together.
+    """
+
+    def __init__(self, fallback_fraction: float) -> None:
+        self._fallback_fraction = fallback_fraction
+        self._bucket_by_workspace: dict[str, _Bucket] = {}
+        # Hosts of the fleet, among which the fallback is divided.
+        self.host_count = 1
+
+    def take(self, workspace: Workspace, now: float, may_wait: bool = True) -> TakeOutcome:
+        """Take a token for a request.
+
+        Parameters
+        ----------
+        workspace : Workspace
+            Workspace of the request, with a limit.
+        now : float
+            Time in seconds, suspended time included.
+        may_wait : bool
+            Whether the request can wait for the divider.
+        """
+        bucket = self._bucket(workspace, now)
+        self._refill(bucket, now)
+        if may_wait:
+            self._count_demand(bucket, now)
+        if bucket.tokens >= 1.0:
+            bucket.tokens -= 1.0
+            return Taken()
+        pause_s = PRESSED_ASK_PAUSE_S if bucket.is_pressed else ASK_PAUSE_S
+        if may_wait and now - bucket.granted_at >= pause_s:
+            return Short()
+        return OverAllotment(self._retry_after_s(bucket, now))
+
+    def give_back(self, workspace: Workspace, now: float) -> None:
+        """Return the token of a request that was refused later for another reason."""
+        bucket = self._bucket_by_workspace.get(workspace.name)
+        if bucket is not None:
+            self._refill(bucket, now)
+            bucket.tokens += 1.0
+
+    def wait_began(self, workspace: Workspace) -> None:
+        """Note that a request waits for the next grant."""
+        self._bucket_by_workspace[workspace.name].waiting += 1
+
+    def wait_ended(self, workspace: Workspace) -> None:
+        """Note that a request does not wait any more."""
+        bucket = self._bucket_by_workspace.get(workspace.name)
+        if bucket is not None:
+            bucket.waiting -= 1
+
+    def demands(self, now: float) -> tuple[Demand, ...]:
+        """Return what to ask the divider for; idle workspaces are dropped, and so given back."""
+        for name, bucket in list(self._bucket_by_workspace.items()):
+            if now - bucket.last_request_at > IDLE_S and not bucket.waiting:
+                del self._bucket_by_workspace[name]
+        return tuple(
+            Demand(
+                name,
+                self._demand_of(bucket, now),
+                bucket.waiting,
+                bucket.rate if bucket.expires_at > now else 0.0,
+            )
+            for name, bucket in self._bucket_by_workspace.items()
+        )
+
+    def apply(self, grants: Iterable[Grant], asked_at: float, now: float) -> None:
+        """Use the grants that answer a request which was sent at `asked_at`."""
+        for grant in grants:
+            bucket = self._bucket_by_workspace.get(grant.workspace)
+            if bucket is None:
+                continue
+            self._refill(bucket, now)
+            bucket.rate, bucket.granted_limit = grant.rate, grant.limit
+            bucket.expires_at = asked_at + LEASE_S
+            bucket.granted_at = now
+            bucket.is_pressed = grant.rate < self._demand_of(bucket, now)
+            bucket.tokens += grant.tokens
+
+    def rates(self, now: float) -> dict[str, float]:
+        """Return the present share of each workspace in requests per second, by name."""
+        buckets = self._bucket_by_workspace.items()
+        return {name: self._rate(bucket, now) for name, bucket in buckets}
+
+    def _bucket(self, workspace: Workspace, now: float) -> _Bucket:
+        bucket = self._bucket_by_workspace.get(workspace.name)
+        if bucket is None:
+            bucket = _Bucket(workspace, now, demand_at=now)
+            self._bucket_by_workspace[workspace.name] = bucket
+        elif bucket.workspace is not workspace:
+            bucket.workspace = workspace
+        return bucket
+
+    def _rate(self, bucket: _Bucket, now: float) -> float:
+        """Return the present rate of a share.
+
+        A change of the limit changes each share in proportion at once, which keeps their sum within
+        the limit.
+        """
+        limit = bucket.workspace.rate_limit
+        if bucket.expires_at <= now or not bucket.granted_limit:
+            return self._fallback_fraction * limit / max(1, self.host_count)
+        return bucket.rate * limit / bucket.granted_limit
+
+    def _refill(self, bucket: _Bucket, now: float) -> None:
+        rate = self._rate(bucket, now)
+        passed_s = max(0.0, now - bucket.refilled_at)
+        bucket.refilled_at = max(bucket.refilled_at, now)
+        capacity = max(1.0, CAPACITY_S * rate)
+        if bucket.tokens < capacity:
+            bucket.tokens = min(capacity, bucket.tokens + rate * passed_s)
+
+    def _count_demand(self, bucket: _Bucket, now: float) -> None:
+        bucket.demand = self._demand_of(bucket, now) + 1.0 / DEMAND_TIME_S
+        bucket.demand_at = bucket.last_request_at = now
+
+    @staticmethod
+    def _demand_of(bucket: _Bucket, now: float) -> float:
+        return bucket.demand * math.exp(-max(0.0, now - bucket.demand_at) / DEMAND_TIME_S)
+
+    def _retry_after_s(self, bucket: _Bucket, now: float) -> float:
+        """Return when the next token is free, behind those of the callers refused before."""
+        rate = max(self._rate(bucket, now), 1e-3)
+        free_at = now + max(0.0, 1.0 - bucket.tokens) / rate
+        returns_at = max(free_at, min(bucket.returns_at, now + MAX_RETRY_AFTER_S) + 1.0 / rate)
+        bucket.returns_at = returns_at
+        return min(MAX_RETRY_AFTER_S, max(MIN_RETRY_AFTER_S, returns_at - now))
--- /dev/null
+++ b/jaypost/allotments/divider.py
@@ -0,0 +1,184 @@
+"""Task of the node that divides the limits of workspaces among the hosts.
+
+The divider holds a lease in the store. It grants nothing after the time at which that lease may
+have expired, and a new divider does not lease what an earlier one may still have leased.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+from collections.abc import Awaitable, Callable, Iterable, Mapping
+from typing import Protocol
+
+import structlog
+
+from jaypost.allotments.shares import Asker, Limit, ShareLedger
+from jaypost.freshness import clock as boot_clock
+from jaypost.logs import EventName
+from jaypost.messages import AllotmentReply, AllotmentRequest
+from jaypost.store import (
+    DeleteOutcome,
+    GrantOutcome,
+    LeaseExpired,
+    LeaseGranted,
+    LeaseHeld,
+    PutOutcome,
+    RenewOutcome,
+    Stored,
+)
+
+log = structlog.get_logger(__name__)
+
+DIVIDER_KEY = "allotments/divider"
+LEASE_TTL_S = 3.0
+# Interval between two renewals of the lease, or attempts to get it.
+RENEWAL_S = 0.8
+CLOSE_TIMEOUT_S = 0.3
+
+
+class DividerStore(Protocol):
+    """The calls of the store that the divider makes."""
+
+    async def put(
+        self, key: str, value: bytes, if_revision: int | None, lease_id: str | None = None
+    ) -> PutOutcome:
+        """Write a key under a condition and a lease."""
+        ...
+
+    async def delete(self, key: str, if_revision: int | None) -> DeleteOutcome:
+        """Delete a key."""
+        ...
+
+    async def grant_lease(self, ttl_s: float) -> GrantOutcome:
+        """Create a lease."""
+        ...
+
+    async def renew_lease(self, lease_id: str) -> RenewOutcome:
+        """Extend a lease."""
+        ...
+
+
+class Divider:
+    """Divides limits while this node is the candidate and holds the lease.
+
+    Parameters
+    ----------
+    node_id : str
+        Identifier of the node.
+    store : DividerStore
+        Client of the store.
+    is_candidate : callable
+        Tells whether this node should divide.
+    limits : callable
+        Returns the limits of the version in force by workspace.
+    hosts : callable
+        Returns the identifiers of all known hosts.
+    publish_term : callable
+        Tells all hosts the term of this divider; 0 when it does not divide any more.
+    first_start : bool
+        Whether the fleet starts for the first time, so that no host holds anything.
+    clock : callable
+        Time in seconds, suspended time included.
+    sleep : callable
+        Waits for a number of seconds.
+    """
+
+    def __init__(
+        self,
+        node_id: str,
+        store: DividerStore,
+        is_candidate: Callable[[], bool],
+        limits: Callable[[], Mapping[str, Limit]],
+        hosts: Callable[[], Iterable[str]],
+        publish_term: Callable[[int], None],
+        first_start: bool = False,
+        clock: Callable[[], float] = boot_clock,
+        sleep: Callable[[float], Awaitable[None]] = asyncio.sleep,
+    ) -> None:
+        self._node_id = node_id
+        self._store = store
+        self._is_candidate = is_candidate
+        self._limits = limits
+        self._hosts = hosts
+        self._publish_term = publish_term
+        self._first_start = first_start
+        self._clock = clock
+        self._sleep = sleep
+        self._task: asyncio.Task[None] | None = None
+        self._lease_id: str | None = None
+        self._valid_until = float("-inf")
+        self._ledger: ShareLedger | None = None
+        self.term = 0
+
+    def start(self) -> None:
+        """Start the task that gets and renews the lease."""
+        self._task = asyncio.create_task(self._run())
+
+    async def close(self) -> None:
+        """Stop the task and give the role up."""
+        if self._task is not None:
+            self._task.cancel()
+            await asyncio.gather(self._task, return_exceptions=True)
+            self._task = None
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(CLOSE_TIMEOUT_S):
+                await self._step_down()
+
+    def handle(self, request: AllotmentRequest) -> AllotmentReply | None:
+        """Return the shares of a host; None while this node does not divide."""
+        now = self._clock()
+        if self._ledger is None or now >= self._valid_until or request.term != self.term:
+            return None
+        asker = Asker(request.sender, request.incarnation, request.sequence)
+        grants = self._ledger.request(asker, request.demands, self._limits(), now)
+        return AllotmentReply(grants)
+
+    async def _run(self) -> None:
+        while True:
+            if not self._is_candidate() or not self._limits():
+                await self._step_down()
+            elif self._lease_id is None:
+                await self._claim()
+            else:
+                await self._renew()
+            await self._sleep(RENEWAL_S)
+
+    async def _claim(self) -> None:
+        sent_at = self._clock()
+        granted = await self._store.grant_lease(LEASE_TTL_S)
+        if not isinstance(granted, LeaseGranted):
+            return
+        stored = await self._store.put(DIVIDER_KEY, self._node_id.encode(), 0, granted.lease_id)
+        if not isinstance(stored, Stored):
+            return  # another node divides, or the lease ends by itself
+        hosts = () if self._first_start and not self.term else self._hosts()
+        self._lease_id, self.term = granted.lease_id, stored.revision
+        self._valid_until = sent_at + LEASE_TTL_S
+        self._ledger = ShareLedger(hosts, self._clock())
+        log.info(EventName.DIVIDER_CHANGED, node=self._node_id, divides=True, term=self.term)
+        self._publish_term(self.term)
+
+    async def _renew(self) -> None:
+        assert self._lease_id is not None
+        sent_at = self._clock()
+        renewed = await self._store.renew_lease(self._lease_id)
+        if isinstance(renewed, LeaseHeld):
+            self._valid_until = sent_at + LEASE_TTL_S
+        elif isinstance(renewed, LeaseExpired):
+            self._end_term()
+        # While the store is not available nothing is granted after the lease may have expired. If
+        # it still exists then, nobody else can have divided meanwhile.
+
+    async def _step_down(self) -> None:
+        if self._lease_id is None:
+            return
+        term = self.term
+        self._end_term()
+        await self._store.delete(DIVIDER_KEY, term)
+
+    def _end_term(self) -> None:
+        self._lease_id, self._ledger = None, None
+        self._valid_until = float("-inf")
+        log.info(EventName.DIVIDER_CHANGED, node=self._node_id, divides=False, term=self.term)
+        self._publish_term(0)
--- a/jaypost/calls.py
+++ b/jaypost/calls.py
@@ -4,6 +4,7 @@
 
 import json
 from dataclasses import dataclass
+from http import HTTPStatus
 
 from jaypost.admission import CallClass
 from jaypost.codecs import ResponseHead
@@ -16,6 +17,8 @@
 # Milliseconds left until the deadline of the request.
 DEADLINE_MS = b"x-jaypost-deadline-ms"
 TENANT = b"x-jaypost-tenant"
+# Name of the workspace whose key the request carried; never taken from a caller.
+WORKSPACE = b"x-jaypost-workspace"
 # Present on a request that is part of a retry or a hedge, so that the nodes further down the call
 # chain do not retry as well.
 RETRY = b"x-jaypost-retry"
@@ -151,6 +154,8 @@
     if final:
         control[FINAL] = b"1"
     headers = [(b"content-type", b"application/json")]
+    if answer.status is HTTPStatus.UNAUTHORIZED:
+        headers.append((b"www-authenticate", b"Bearer"))
     if retry_after_s is not None:
         headers.append((RETRY_AFTER, b"%.3f" % retry_after_s))
     return ErrorResponse(ResponseHead(answer.status, control, headers, len(body)), body)
--- a/jaypost/cli.py
+++ b/jaypost/cli.py
@@ -27,6 +27,7 @@
 from jaypost.records import Address
 from jaypost.rollouts import commands as rollout_commands
 from jaypost.settings import parse_address
+from jaypost.workspaces import commands as workspace_commands
 
 DEFAULT_WATCH_TIMEOUT_S = 30.0
 DEFAULT_HISTORY_LIMIT = 20
@@ -133,6 +134,9 @@
     _add_rollout_actions(
         subparsers.add_parser("rollout", help="move a service to targets of another version")
     )
+    _add_workspace_actions(
+        subparsers.add_parser("workspace", help="workspaces, their limits and keys")
+    )
     return parser
 
 
@@ -204,6 +208,32 @@
     _add_output_flag(status)
 
 
+def _add_workspace_actions(parser: argparse.ArgumentParser) -> None:
+    subparsers = parser.add_subparsers(metavar="ACTION", required=True)
+    set_ = _add_command(
+        subparsers, "set", workspace_commands.set_workspace, "create or change a workspace"
+    )
+    set_.add_argument("--rate-limit", type=float, help="requests per second; 0 for no limit")
+    set_.add_argument("--rate-burst", type=float, help="requests beyond the rate at once")
+    set_.add_argument("--priority", type=int, help="rank in queues; -1 for that of the route")
+    set_.add_argument("--add-keys", metavar="FILE", help="keys to add, one on each line")
+    set_.add_argument("--remove-keys", metavar="FILE", help="keys to remove, one on each line")
+    delete = _add_command(
+        subparsers, "delete", workspace_commands.delete_workspace, "delete a workspace"
+    )
+    for command in (set_, delete):
+        command.add_argument("name", metavar="NAME")
+        _add_change_flags(command)
+        command.add_argument(
+            "--dry-run", action="store_true", help="check and show the changes, write nothing"
+        )
+    listing = _add_command(
+        subparsers, "list", workspace_commands.list_workspaces, "show the workspaces"
+    )
+    _add_store_flag(listing)
+    _add_output_flag(listing)
+
+
 def _add_table_queries(subparsers: argparse._SubParsersAction[argparse.ArgumentParser]) -> None:
     get = _add_command(subparsers, "get", queries.table_get, "show rows")
     get.add_argument("services", metavar="SERVICE", nargs="*")
@@ -266,13 +296,7 @@
     set_row.set_defaults(rest="assignments")
     edit.set_defaults(rest="services")
     for command in (set_row, edit, import_rows, rollback):
-        _add_store_flag(command)
-        command.add_argument(
-            "--author", help="operator who makes the change (default: JAYPOST_AUTHOR)"
-        )
-        command.add_argument(
-            "--comment", "-m", default="", help="reason for the change, kept in the history"
-        )
+        _add_change_flags(command)
         if command is not rollback:
             command.add_argument(
                 "--dry-run", action="store_true", help="check and show the changes, write nothing"
@@ -305,6 +329,14 @@
     )
 
 
+def _add_change_flags(parser: argparse.ArgumentParser) -> None:
+    _add_store_flag(parser)
+    parser.add_argument("--author", help="operator who makes the change (default: JAYPOST_AUTHOR)")
+    parser.add_argument(
+        "--comment", "-m", default="", help="reason for the change, kept in the history"
+    )
+
+
 def _add_output_flag(parser: argparse.ArgumentParser) -> None:
     parser.add_argument(
         "--output",
--- a/jaypost/commands.py
+++ b/jaypost/commands.py
@@ -64,7 +64,7 @@
         if problem is not None:
             return report_refusal(context, (problem,))
         if arguments.delete:
-            return await _submit(
+            return await submit(
                 context, writer, base, (RowChange(arguments.service, None),), arguments
             )
         return await _submit_columns(context, writer, base, (parsed,), arguments)
@@ -160,7 +160,7 @@
     )
     if isinstance(changes, InvalidInput):
         return report_refusal(context, changes.problems)
-    return await _submit(context, writer, base, changes, arguments)
+    return await submit(context, writer, base, changes, arguments)
 
 
 def _run_editor(context: Context, command: Sequence[str], path: Path) -> bool:
@@ -199,16 +199,17 @@
     changes = row_changes(base, rows, deletable, keep_omitted_columns=not whole)
     if isinstance(changes, InvalidInput):
         return report_refusal(context, changes.problems)
-    return await _submit(context, writer, base, changes, arguments)
+    return await submit(context, writer, base, changes, arguments)
 
 
-async def _submit(
+async def submit(
     context: Context,
     writer: TableWriter,
     base: Table,
     changes: Sequence[RowChange],
     arguments: argparse.Namespace,
 ) -> ExitCode:
+    """Submit row changes that were made from `base`, and report the outcome."""
     if not changes:
         context.print_line(f"nothing to change in version {base.version}")
         return ExitCode.DONE
--- a/jaypost/config.py
+++ b/jaypost/config.py
@@ -29,6 +29,7 @@
     TargetState,
 )
 from jaypost.settings import Settings
+from jaypost.workspaces.keys import WorkspaceIndex
 
 log = structlog.get_logger(__name__)
 
@@ -132,6 +133,7 @@
         self._targets_by_service: Mapping[str, tuple[PlacedTarget, ...]] = {}
         self._canary_by_service: Mapping[str, Canary] = {}
         self._routes = RouteIndex()
+        self._workspaces = WorkspaceIndex()
         self.snapshot = Snapshot()
         self.minimum_held_version = 0
         self.refused: RefusedVersion | None = None
@@ -272,7 +274,9 @@
         if not self._is_whole_and_valid(candidate):
             return None
         routes = RouteIndex(candidate.rows_by_service.values())
+        previous, self._workspaces = self._workspaces, self._workspaces_of(candidate)
         if not self._replace_snapshot(self._build_snapshot(candidate, routes)):
+            self._workspaces = previous
             return None
         self._in_force = candidate
         self._routes = routes
@@ -282,6 +286,15 @@
             self.on_version_in_force(candidate.version)
         return Applied(candidate.version)
 
+    def _workspaces_of(self, candidate: Table) -> WorkspaceIndex:
+        """Return the index of the workspaces; the present one if none of their rows changed."""
+        rows = [row for row in candidate.rows_by_service.values() if row.workspace]
+        known = self._in_force.rows_by_service
+        count = sum(1 for row in known.values() if row.workspace)
+        if len(rows) == count and all(known.get(row.service) == row for row in rows):
+            return self._workspaces
+        return WorkspaceIndex(rows)
+
     def update_targets(
         self,
         targets_by_service: Mapping[str, tuple[PlacedTarget, ...]],
@@ -296,7 +309,13 @@
         self._replace_snapshot(self._build_snapshot(self._in_force, self._routes))
 
     def _build_snapshot(self, source: Table, routes: RouteIndex) -> Snapshot:
-        return _build_snapshot(source, self._targets_by_service, routes, self._canary_by_service)
+        return _build_snapshot(
+            source,
+            self._targets_by_service,
+            routes,
+            self._canary_by_service,
+            self._workspaces,
+        )
 
     @singledispatchmethod
     def _apply_offer(self, message: object) -> Held | Stale | Gap | RefusedVersion:
@@ -423,6 +442,7 @@
     targets_by_service: Mapping[str, tuple[PlacedTarget, ...]],
     routes: RouteIndex,
     canary_by_service: Mapping[str, Canary],
+    workspaces: WorkspaceIndex,
 ) -> Snapshot:
     """Join a version with the known targets; destinations without targets become pending."""
     destinations_by_service = {}
@@ -445,6 +465,7 @@
         targets_by_service,
         routes,
         canary_by_service,
+        workspaces,
     )
 
 
--- a/jaypost/daemon.py
+++ b/jaypost/daemon.py
@@ -23,6 +23,7 @@
 from jaypost import STARTED_AT, __version__, logs, settings
 from jaypost.admin import AdminServer, FleetReport, Readiness
 from jaypost.admission import Admission
+from jaypost.allotments.node import NodeAllotments
 from jaypost.announcements import (
     AdoptDepartures,
     Announcements,
@@ -263,6 +264,17 @@
         self.gossip.read_newest_at = lambda: self.reader.newest_at
         if node_settings.exposure_share:
             self._start_rollouts(node_settings.exposure_share)
+        self.allotments = NodeAllotments(
+            node_settings,
+            self._incarnation,
+            self.store,
+            self.gossip,
+            self.view,
+            lambda: self.holder.snapshot.workspaces,
+            lambda: self._ready,
+            self._rng,
+        )
+        self.ingress.allotments = self.allotments
         await self.gossip.start()
 
     def _start_rollouts(self, exposure_share: float) -> None:
@@ -342,6 +354,7 @@
         await asyncio.gather(*tasks, return_exceptions=True)
         if self.coordinator is not None:
             await self.coordinator.close()
+        await self.allotments.close()
         await self.reader.close()
         await self.ingress.close()
         await self.egress.close()
@@ -508,6 +521,7 @@
         metrics.ejections_changed(
             {service: self.health.ejected_count(service, now) for service in services}
         )
+        metrics.allotments_changed(self.allotments.rates())
         metrics.rollouts_changed({step.service: step.share for step in self.rollouts.steps()})
         self._count_offer_outcomes(metrics)
 
@@ -524,6 +538,7 @@
         deltas = self.holder.deltas_since(version - 1)
         lag_s = time.time() - deltas[0].at_ms / 1000 if deltas else None
         self.metrics.version_applied(version, lag_s)
+        self.allotments.start_if_limited()
 
     def _snapshot(self) -> Snapshot:
         return self.holder.snapshot
--- a/jaypost/egress.py
+++ b/jaypost/egress.py
@@ -51,6 +51,7 @@
     TARGET,
     TENANT,
     WORK_DURATION,
+    WORKSPACE,
     CallEnded,
     ErrorResponse,
     error_response,
@@ -88,7 +89,7 @@
 DEFAULT_ANSWER_BY_MS = 1_000_000_000
 
 # Control headers that are passed on to the target unchanged.
-_FORWARDED_CONTROL = (HOST, REQUEST_ID, TENANT, RETRY, IDEMPOTENCY_KEY, CALLER, TARGET)
+_FORWARDED_CONTROL = (HOST, REQUEST_ID, TENANT, WORKSPACE, RETRY, IDEMPOTENCY_KEY, CALLER, TARGET)
 
 
 # Statuses by which a target tells a caller that its request was not run and will not be.
--- a/jaypost/errors.py
+++ b/jaypost/errors.py
@@ -24,6 +24,8 @@
     BODY_TOO_SLOW = "body_too_slow"
     BAD_DEADLINE = "bad_deadline"
     UNKNOWN_SERVICE = "unknown_service"
+    UNKNOWN_KEY = "unknown_key"
+    ALLOTMENT_USED = "allotment_used"
     NOT_READY = "not_ready"
     NO_TARGET = "no_target"
     SLOTS_FULL = "slots_full"
@@ -90,6 +92,12 @@
     ErrorKind.UNKNOWN_SERVICE: _not_run(
         HTTPStatus.NOT_FOUND, "No row of the table matches the request."
     ),
+    ErrorKind.UNKNOWN_KEY: _not_run(
+        HTTPStatus.UNAUTHORIZED, "The request has no key that a workspace holds."
+    ),
+    ErrorKind.ALLOTMENT_USED: _not_run(
+        HTTPStatus.TOO_MANY_REQUESTS, "The allotment of the workspace is used up."
+    ),
     ErrorKind.NOT_READY: _not_run(
         HTTPStatus.SERVICE_UNAVAILABLE, "The node holds no table version yet.", retryable=True
     ),
--- a/jaypost/formats.py
+++ b/jaypost/formats.py
@@ -16,14 +16,15 @@
 from jaypost.table import parse_row, row_columns
 
 COLUMNS = tuple(item.name for item in fields(Row) if item.name != "service")
-LIST_COLUMNS = frozenset({"repeatable_methods", "long_prefixes"})
+LIST_COLUMNS = frozenset({"repeatable_methods", "long_prefixes", "key_digests"})
 # Fields of the entries in the columns whose cells are lists of ``name=number`` pairs.
 PAIR_FIELDS_BY_COLUMN: Mapping[str, tuple[str, str]] = {
     "destinations": ("service", "weight"),
     "tenant_shares": ("tenant", "share"),
 }
-FLOAT_COLUMNS = frozenset({"rate_limit", "retry_budget", "short_reserve"})
-TEXT_COLUMNS = frozenset({"host", "path_prefix", "spill"})
+FLOAT_COLUMNS = frozenset({"rate_limit", "retry_budget", "short_reserve", "rate_burst"})
+TEXT_COLUMNS = frozenset({"host", "path_prefix", "spill", "workspace"})
+FLAG_COLUMNS = frozenset({"without_key"})
 
 
 class FileFormat(StrEnum):
@@ -54,6 +55,8 @@
         return RowProblem(service, column, "is not a column")
     try:
         return _parse_cell_value(column, text.strip())
+    except KeyError:
+        return RowProblem(service, column, f"{text[:80]!r} must be true or false")
     except (ValueError, msgspec.DecodeError) as error:
         return RowProblem(service, column, f"{text[:80]!r} cannot be read: {error}")
 
@@ -63,6 +66,8 @@
         return text
     if column in LIST_COLUMNS or column in PAIR_FIELDS_BY_COLUMN:
         return _parse_list(column, text)
+    if column in FLAG_COLUMNS:
+        return {"true": True, "false": False}[text.lower()]
     return float(text) if column in FLOAT_COLUMNS else int(text)
 
 
@@ -86,6 +91,8 @@
     """Return the text of a JSON value of `column`; `parse_cell` converts it back to `value`."""
     if column in LIST_COLUMNS:
         return _join_or_encode([str(part) for part in _as_sequence(value)], value)
+    if column in FLAG_COLUMNS:
+        return str(value).lower()
     if column in PAIR_FIELDS_BY_COLUMN:
         name_field, number_field = PAIR_FIELDS_BY_COLUMN[column]
         pairs = [f"{pair[name_field]}={pair[number_field]}" for pair in _as_sequence(value)]
--- a/jaypost/gossip.py
+++ b/jaypost/gossip.py
@@ -40,6 +40,8 @@
 from jaypost.joining import SEEDS_JOINING_WAIT_S, Founded, Joiner, JoinOutcome, JoinServer
 from jaypost.logs import EventName
 from jaypost.messages import (
+    AllotmentReply,
+    AllotmentRequest,
     Beacon,
     CompareBuckets,
     CompareBucketsReply,
@@ -231,6 +233,8 @@
         after which the node held the newest version; None before the first.
     on_store_reading_changed : Callable[[], None]
         Called when a check changed whether this node reads the table from the store.
+    on_allotment_request : Callable[[AllotmentRequest], AllotmentReply or None]
+        Returns the shares of a node; None while this node does not divide.
     on_rollout_query : Callable[[RolloutStep], RolloutReport or None]
         Returns the report of this node about a service in a roll-out; None without roll-outs.
     """
@@ -288,6 +292,9 @@
         self.store_round_trip_s: Callable[[], float | None] = lambda: None
         self.read_newest_at: Callable[[], float | None] = lambda: None
         self.on_store_reading_changed: Callable[[], None] = lambda: None
+        self.on_allotment_request: Callable[[AllotmentRequest], AllotmentReply | None] = (
+            lambda request: None
+        )
         self.on_rollout_query: Callable[[RolloutStep], RolloutReport | None] = lambda step: None
 
     # Life cycle
@@ -436,26 +443,23 @@
         state: NodeState | None = None,
         targets: tuple[Target, ...] | None = None,
         rollouts: tuple[RolloutStep, ...] | None = None,
+        divider_term: int | None = None,
     ) -> NodeRecord:
         """Change the own record and queue it for the next push."""
-        record = self._view.update_own(state, targets, rollouts=rollouts)
+        record = self._view.update_own(state, targets, rollouts=rollouts, divider_term=divider_term)
         self._queue_records(record)
         return record
 
-    async def ask_rollout_report(
-        self, node_id: str, step: RolloutStep, timeout_s: float
-    ) -> RolloutReport | None:
-        """Ask a node about its targets in a roll-out; None when it does not answer."""
+    async def ask(self, node_id: str, request: Any, timeout_s: float) -> Any | None:
+        """Send a request to a node, or handle it here; None when there is no reply."""
         if node_id == self._own_id:
-            return self.on_rollout_query(step)
+            reply = await self._handle(request)
+            return None if isinstance(reply, Busy | Declined) else reply
         peer = self._view.get(node_id)
         if peer is None:
             return None
-        outcome = await self._call(peer, RolloutQuery(self._own_id, step), timeout_s)
-        if not isinstance(outcome, Replied) or outcome.message.node_id != node_id:
-            return None
-        report: RolloutReport = outcome.message
-        return report
+        outcome = await self._call(peer, request, timeout_s)
+        return outcome.message if isinstance(outcome, Replied) else None
 
     async def leave(self) -> None:
         """Publish `leaving` unless it was published, then push `left` and wait for the replies."""
@@ -1399,6 +1403,11 @@
         report = self.on_rollout_query(request.step)
         return report if report is not None else Declined("roll-outs are not in use")
 
+    @_handle.register
+    async def _(self, request: AllotmentRequest) -> AllotmentReply | Declined:
+        reply = self.on_allotment_request(request)
+        return reply if reply is not None else Declined("this node does not divide allotments")
+
     @_handle.register
     async def _(self, request: StatusRequest) -> StatusReply:
         if request.scope is StatusScope.DOMAIN:
--- a/jaypost/ingress.py
+++ b/jaypost/ingress.py
@@ -15,6 +15,7 @@
 import structlog
 
 from jaypost.admission import CallClass
+from jaypost.allotments.buckets import OverAllotment, Short, Taken, TakeOutcome
 from jaypost.calls import (
     ANSWER_BY_MS,
     ARRIVED,
@@ -38,6 +39,7 @@
     TARGET,
     TENANT,
     VERSION,
+    WORKSPACE,
     CallEnded,
     ErrorResponse,
     error_response,
@@ -84,6 +86,7 @@
 from jaypost.retries import GiveUp, Retry, RetryPolicy, RetryQuery, undelivered_attempt_limit
 from jaypost.settings import Settings
 from jaypost.uplink import Uplink
+from jaypost.workspaces.keys import NO_PRIORITY, UnknownKey, Workspace, identify
 
 log = structlog.get_logger(__name__)
 
@@ -134,6 +137,19 @@
         """Release the key, because its request was not run."""
 
 
+class Allotments(Protocol):
+    """Tells whether a request is within the allotment of its workspace."""
+
+    def take(self, workspace: Workspace) -> TakeOutcome:
+        """Take a token for a request."""
+
+    async def acquire(self, workspace: Workspace) -> TakeOutcome:
+        """Wait for a token for a request that found none."""
+
+    def give_back(self, workspace: Workspace) -> None:
+        """Return the token of a request that was not run."""
+
+
 class Attempt(Receiver):
     """One attempt of a call: a request to one target and its response."""
 
@@ -224,6 +240,7 @@
     """One request of a caller, from its head to the end of its response."""
 
     __slots__ = (
+        "_allotment_taken",
         "_answer_by",
         "_attempt_count",
         "_body_bytes",
@@ -261,10 +278,13 @@
         "_row",
         "_service",
         "_snapshot",
+        "_start_is_due",
         "_streaming",
         "_tenant",
         "_tried_target_ids",
         "_undelivered_attempts",
+        "_waits_for_allotment",
+        "_workspace",
         "_write_paused",
     )
 
@@ -285,6 +305,13 @@
         # Key of the targets for the next attempt: the service, or those of a new version of it.
         self._group = ""
         self._tenant = DEFAULT_TENANT
+        # Workspace whose key the request carries.
+        self._workspace: Workspace | None = None
+        # Whether the request has a token of its workspace, or waits for one.
+        self._allotment_taken = False
+        self._waits_for_allotment = False
+        # Whether the first attempt starts as soon as the token is there.
+        self._start_is_due = False
         self._call_class = CallClass.SHORT
         self._row: Row | None = None
         # Whether the request is part of a retry or a hedge made further up the call chain.
@@ -336,11 +363,43 @@
         self._deadline_timer = self._ingress.loop.call_at(
             self._deadline + DEADLINE_GRACE_S, self._on_deadline
         )
+        if not self._take_allotment():
+            return
         if (self._head.content_length or 0) > self._ingress.settings.buffered_body_bytes:
             self._start_streaming()
         elif self._head.expect_continue:
             self._responder.send_continue()
 
+    def _take_allotment(self) -> bool:
+        """Take a token of the workspace; tell whether the request may go on, or wait for one."""
+        allotments = self._ingress.allotments
+        if allotments is None or self._workspace is None or not self._workspace.rate_limit:
+            return True
+        outcome = allotments.take(self._workspace)
+        if isinstance(outcome, OverAllotment):
+            self._fail(ErrorKind.ALLOTMENT_USED, retry_after_s=outcome.retry_after_s)
+            return False
+        self._allotment_taken = isinstance(outcome, Taken)
+        self._waits_for_allotment = isinstance(outcome, Short)
+        if self._waits_for_allotment:
+            self._ingress.spawn(self._await_allotment(allotments, self._workspace))
+        return True
+
+    async def _await_allotment(self, allotments: Allotments, workspace: Workspace) -> None:
+        outcome = await allotments.acquire(workspace)
+        self._waits_for_allotment = False
+        if self._done:
+            if isinstance(outcome, Taken):
+                allotments.give_back(workspace)
+            return
+        if isinstance(outcome, Taken):
+            self._allotment_taken = True
+            if self._start_is_due:
+                self._start_first_attempt()
+            return
+        retry_after_s = outcome.retry_after_s if isinstance(outcome, OverAllotment) else None
+        self._fail(ErrorKind.ALLOTMENT_USED, retry_after_s=retry_after_s)
+
     def _check_head(self) -> ErrorKind | None:
         ingress = self._ingress
         control = self._head.control
@@ -349,7 +408,7 @@
             self._request_id = ingress.new_request_id()
             return ErrorKind.BAD_REQUEST
         tenant = control.get(TENANT)
-        if tenant is not None:
+        if tenant is not None and not self._snapshot.workspaces:
             if not TENANT_PATTERN.fullmatch(tenant):
                 return ErrorKind.BAD_REQUEST
             self._tenant = tenant.decode()
@@ -357,15 +416,30 @@
             return ErrorKind.DRAINING
         if not self._snapshot.version:
             return ErrorKind.NOT_READY
-        return self._check_service() or self._check_deadline()
-
-    def _check_service(self) -> ErrorKind | None:
-        snapshot = self._snapshot
-        row = find_row(snapshot, self._head)
+        row = find_row(self._snapshot, self._head)
         if row is None:
             return ErrorKind.UNKNOWN_SERVICE
         self._service = row.service
         self._row = row
+        return self._check_key(row) or self._check_destination(row) or self._check_deadline()
+
+    def _check_key(self, row: Row) -> ErrorKind | None:
+        """Find the workspace of the request and remove its key, if the table has workspaces."""
+        workspaces = self._snapshot.workspaces
+        if not workspaces:
+            return None
+        identified = identify(self._head.headers, workspaces, row.without_key)
+        if isinstance(identified, UnknownKey):
+            return ErrorKind.UNKNOWN_KEY
+        if len(identified.headers) != len(self._head.headers):
+            self._head = replace(self._head, headers=identified.headers)
+        self._workspace = identified.workspace
+        if identified.workspace is not None:
+            self._tenant = identified.workspace.name
+        return None
+
+    def _check_destination(self, row: Row) -> ErrorKind | None:
+        snapshot = self._snapshot
         destination = self._ingress.placement.destination(
             row.destinations or (Destination(row.service, 1),)
         )
@@ -510,6 +584,9 @@
     def _start_first_attempt(self) -> None:
         """Start the first attempt, after a claim if a non-repeatable request has a key."""
         assert self._row is not None
+        if self._waits_for_allotment:
+            self._start_is_due = True
+            return
         self._ingress.retries.request_started(self._row, self._ingress.clock())
         key = self._head.control.get(IDEMPOTENCY_KEY)
         if key is None or self._head.method in self._row.repeatable_methods:
@@ -647,8 +724,10 @@
             CLASS: self._call_class.encode(),
             VERSION: b"%d" % self._snapshot.version,
             CALLER: self._ingress.settings.service.encode(),
-            PRIORITY: b"%d" % self._row.priority,
+            PRIORITY: b"%d" % self._priority(),
         }
+        if self._workspace is not None:
+            control[WORKSPACE] = self._workspace.name.encode()
         if self._destination in self._snapshot.canary_by_service:
             control[ROUTE] = self._row.service.encode()
         rate = self._ingress.rate_by_target_id.get(attempt.placed.target.target_id)
@@ -676,6 +755,13 @@
             expect_continue=self._streaming,
         )
 
+    def _priority(self) -> int:
+        """Return the priority of the workspace, or that of the row if it has none."""
+        assert self._row is not None
+        if self._workspace is None or self._workspace.priority == NO_PRIORITY:
+            return self._row.priority
+        return self._workspace.priority
+
     def _set_timers(self, attempt: Attempt, row: Row, now: float) -> None:
         loop = self._ingress.loop
         if row.first_byte_timeout_ms and not attempt.may_queue and not self._streaming:
@@ -940,7 +1026,12 @@
         self._responder.abort()
         self._end(ErrorKind.ANSWER_CUT, self._response_status, RunState.UNKNOWN)
 
-    def _fail(self, kind: ErrorKind, detail: dict[str, object] | None = None) -> None:
+    def _fail(
+        self,
+        kind: ErrorKind,
+        detail: dict[str, object] | None = None,
+        retry_after_s: float | None = None,
+    ) -> None:
         """Answer with an error; never report not-run when an attempt may have run."""
         if self._done:
             return
@@ -953,7 +1044,6 @@
             kind=kind,
         )
         self._end(kind, answer.status, answer.run_state)
-        retry_after_s = None
         if kind in RETRY_AFTER_RANGE_S_BY_KIND:
             retry_after_s = self._ingress.rng.uniform(*RETRY_AFTER_RANGE_S_BY_KIND[kind])
         self._responder.send_error(
@@ -982,6 +1072,9 @@
         for timer in (self._deadline_timer, self._hedge_timer, self._first_byte_timer):
             if timer is not None:
                 timer.cancel()
+        if self._allotment_taken and run_state is RunState.NOT_RUN:
+            assert self._ingress.allotments is not None and self._workspace is not None
+            self._ingress.allotments.give_back(self._workspace)
         if self._claimed:
             self._ingress.spawn(self._settle_claim(status, run_state))
         ingress = self._ingress
@@ -1078,6 +1171,8 @@
         max_connections = connection_limits(settings.max_files)
         self.pool = ConnectionPool(settings, probe=True, max_connections=max_connections.to_peers)
         self.in_flight = InFlight()
+        # Owner of the shares of the workspaces; None where limits of workspaces do not count.
+        self.allotments: Allotments | None = None
         self.refuses_calls = False
         self._drain_ends_at = float("inf")
         # Rates that targets name, as in the header `RATE`; the oldest entry first.
--- a/jaypost/limits.py
+++ b/jaypost/limits.py
@@ -8,7 +8,8 @@
 from jaypost.invariants import check
 from jaypost.records import Row
 
-# The capacity of a token bucket is the number of tokens added in this time, and at least one.
+# The capacity of a token bucket without `rate_burst` is the number of tokens added in this time,
+# and at least one.
 BURST_DURATION_S = 0.1
 
 
@@ -103,8 +104,9 @@
     def _take_token(self, query: LimitQuery) -> bool:
         """Refill the bucket of the service and take a token; tell whether there was one."""
         fleet_slots = max(query.fleet_slots, query.own_slots, 1)
-        rate = query.row.rate_limit * query.own_slots / fleet_slots
-        burst = max(1.0, rate * BURST_DURATION_S)
+        share = query.own_slots / fleet_slots
+        rate = query.row.rate_limit * share
+        burst = max(1.0, query.row.rate_burst * share or rate * BURST_DURATION_S)
         bucket = self._bucket_by_service.setdefault(
             query.row.service, _ServiceBucket(burst, query.now)
         )
--- a/jaypost/logs.py
+++ b/jaypost/logs.py
@@ -97,6 +97,7 @@
     SETTINGS_RELOADED = "settings_reloaded"
     SETTINGS_SIGNALLED = "settings_signalled"
     SETTINGS_REFUSED = "settings_refused"
+    DIVIDER_CHANGED = "divider_changed"
     ROLLOUT_STEP = "rollout_step"
     ROLLOUT_DECIDED = "rollout_decided"
     ROLLOUT_NOT_WRITTEN = "rollout_not_written"
--- a/jaypost/messages.py
+++ b/jaypost/messages.py
@@ -10,6 +10,7 @@
 from dataclasses import dataclass, field
 from enum import StrEnum
 
+from jaypost.allotments.shares import Demand, Grant
 from jaypost.records import Address, Delta, NodeRecord, NodeState, RolloutStep, Stamp, Table
 from jaypost.rollouts.evidence import RouteEvidence
 from jaypost.view import AgedAccusation
@@ -373,3 +374,24 @@
     excluded_calls: int
     new: tuple[RouteEvidence, ...] = ()
     old: tuple[RouteEvidence, ...] = ()
+
+
+@dataclass(frozen=True, slots=True)
+class AllotmentRequest:
+    """Ask the divider for shares; `demands` replace all earlier ones of the sender.
+
+    `incarnation` is that of the sender, and `sequence` orders its requests.
+    """
+
+    sender: str
+    term: int
+    incarnation: int
+    sequence: int
+    demands: tuple[Demand, ...] = ()
+
+
+@dataclass(frozen=True, slots=True)
+class AllotmentReply:
+    """Shares of the sender of `AllotmentRequest`."""
+
+    grants: tuple[Grant, ...] = ()
--- a/jaypost/metrics.py
+++ b/jaypost/metrics.py
@@ -182,6 +182,9 @@
         self._versions_stale = self._counter(
             "versions_stale_total", "Offers not newer than in force"
         )
+        self._allotment_rate = self._gauge(
+            "allotment_rate", "Requests per second that this host may admit, by workspace"
+        )
         self._rollout_share = self._gauge(
             "rollout_share", "Fraction of the requests that go to the new version of a service"
         )
@@ -250,6 +253,10 @@
         """Set the number of targets of each service that this node has ejected."""
         self._set_all(self._ejected_targets, "service", ejected_by_service)
 
+    def allotments_changed(self, rate_by_workspace: Mapping[str, float]) -> None:
+        """Set the share that this host has of the limit of each workspace."""
+        self._set_all(self._allotment_rate, "workspace", rate_by_workspace)
+
     def rollouts_changed(self, share_by_service: Mapping[str, float]) -> None:
         """Set the share that the new version of each service gets, as this node knows it."""
         self._set_all(self._rollout_share, "service", share_by_service)
--- a/jaypost/peers.py
+++ b/jaypost/peers.py
@@ -108,6 +108,7 @@
         Method("Join", messages.Join, messages.JoinReply),
         Method("FetchTable", messages.FetchTable, messages.FetchTableReply),
         Method("Status", messages.StatusRequest, messages.StatusReply),
+        Method("Allotment", messages.AllotmentRequest, messages.AllotmentReply),
         Method("Rollout", messages.RolloutQuery, messages.RolloutReport),
     )
 }
--- a/jaypost/records.py
+++ b/jaypost/records.py
@@ -6,6 +6,8 @@
 from dataclasses import dataclass, field
 from enum import StrEnum
 
+from jaypost.workspaces.keys import WorkspaceIndex
+
 LOOPBACK = "127.0.0.1"
 
 
@@ -95,10 +97,19 @@
     spill : Spill
         Where requests may be sent.
     priority : int
-        Rank in the queue of a target; 0 goes first.
+        Rank in the queue of a target; 0 goes first. In the row of a workspace it goes before that
+        of the route, unless it is -1.
     target_latency_ms : int
         Time in milliseconds within which the caller wants the response. A request that cannot be
         answered within it does not wait in a queue; 0 means the deadline.
+    rate_burst : float
+        Requests beyond `rate_limit` that may come at once; 0 means those of 0.1 s.
+    without_key : bool
+        Whether requests without a known key are served as well, in a table with workspaces.
+    workspace : str
+        Name of the workspace that the row describes; empty for services and routes.
+    key_digests : tuple of str
+        Digests of keys of that workspace, in hexadecimal; see `jaypost.workspaces.keys`.
     """
 
     service: str
@@ -120,6 +131,10 @@
     spill: Spill = Spill.ANY
     priority: int = 0
     target_latency_ms: int = 0
+    rate_burst: float = 0.0
+    without_key: bool = False
+    workspace: str = ""
+    key_digests: tuple[str, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
@@ -320,7 +335,8 @@
 
     Other nodes send requests for its targets to `peer_address` and control messages to
     `control_address`; its admin server listens on `admin_address`. `rollouts` has the steps that
-    the node decided on.
+    the node decided on. `divider_term` is above 0 while the node divides allotments; the divider
+    with the highest term is the present one.
     """
 
     node_id: str
@@ -333,6 +349,7 @@
     state: NodeState
     targets: tuple[Target, ...] = ()
     rollouts: tuple[RolloutStep, ...] = ()
+    divider_term: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -424,6 +441,8 @@
         Rows of that version, indexed by host and path prefix.
     canary_by_service : Mapping[str, Canary]
         Services with a roll-out in progress, and where its share of the requests goes.
+    workspaces : WorkspaceIndex
+        Workspaces of that version by key; empty when requests carry no keys.
     """
 
     version: int = 0
@@ -433,6 +452,7 @@
     targets_by_service: Mapping[str, tuple[PlacedTarget, ...]] = field(default_factory=dict)
     routes: RouteIndex = field(default_factory=RouteIndex)
     canary_by_service: Mapping[str, Canary] = field(default_factory=dict)
+    workspaces: WorkspaceIndex = field(default_factory=WorkspaceIndex)
 
 
 @dataclass(frozen=True, slots=True)
--- a/jaypost/rollouts/fleet.py
+++ b/jaypost/rollouts/fleet.py
@@ -6,7 +6,7 @@
 from collections.abc import Callable
 
 from jaypost.gossip import Gossip
-from jaypost.messages import RolloutReport
+from jaypost.messages import RolloutQuery, RolloutReport
 from jaypost.records import PlacedTarget, RolloutStep
 from jaypost.rollouts.guard import RolloutGuard
 from jaypost.view import MembershipView
@@ -59,4 +59,6 @@
         self, node_id: str, step: RolloutStep, timeout_s: float
     ) -> RolloutReport | None:
         """Ask a node about its targets; None when it does not answer."""
-        return await self._gossip.ask_rollout_report(node_id, step, timeout_s)
+        query = RolloutQuery(self._view.own.node_id, step)
+        report: RolloutReport | None = await self._gossip.ask(node_id, query, timeout_s)
+        return report if report is not None and report.node_id == node_id else None
--- a/jaypost/settings.py
+++ b/jaypost/settings.py
@@ -82,6 +82,7 @@
     grace_s: float
     retry_ratio: float
     exposure_share: float
+    allotment_tolerance: float
     link_mbps: float
     max_files: int
     log_level: str
@@ -357,6 +358,11 @@
         "largest fraction of the requests of a service that a bad version may get in a roll-out; "
         "0 when roll-outs are not in use",
     ),
+    "allotment_tolerance": Setting(
+        "0.1",
+        _number_parser(float, 0, 1),
+        "fraction of the limit of a workspace that hosts which hold no share may use together",
+    ),
     "link_mbps": Setting(
         "0",
         _number_parser(float, 0, 1_000_000),
--- a/jaypost/table.py
+++ b/jaypost/table.py
@@ -14,12 +14,14 @@
 import msgspec
 
 from jaypost.records import Delta, Row, RowChange, RowProblem, Table
+from jaypost.workspaces.keys import NO_PRIORITY
 
 T = TypeVar("T")
 
 SERVICE_PATTERN = re.compile(r"[a-z0-9][a-z0-9._-]{0,63}")
 HOST_PATTERN = re.compile(r"[a-z0-9][a-z0-9._-]{0,252}")
 TENANT_PATTERN = re.compile(r"[A-Za-z0-9][A-Za-z0-9._-]{0,63}")
+WORKSPACE_PATTERN = re.compile(r"[!-~]{1,128}")
 METHOD_PATTERN = re.compile(r"[A-Z]{1,16}")
 MAX_LIST_ENTRIES = 256
 MAX_PREFIX_CHARACTERS = 256
@@ -39,12 +41,14 @@
     "retry_budget": (0, 1),
     "hedge_ms": (0, 3_600_000),
     "short_reserve": (0, 1),
-    "priority": (0, 1000),
     "target_latency_ms": (0, 3_600_000),
+    "rate_burst": (0, 10_000_000),
 }
 DESTINATION_WEIGHT_RANGE = (0, 1000)
 TENANT_SHARE_RANGE = (1, 1000)
-FLOAT_COLUMNS = ("rate_limit", "retry_budget", "short_reserve")
+FLOAT_COLUMNS = ("rate_limit", "retry_budget", "short_reserve", "rate_burst")
+HIGHEST_PRIORITY_NUMBER = 1000
+KEY_DIGEST_PATTERN = re.compile(r"[0-9a-f]{32}")
 
 
 @dataclass(frozen=True, slots=True)
@@ -408,6 +412,23 @@
     yield from _destination_problems(service, row)
     yield from _range_problems(service, row)
     yield from _list_problems(service, row)
+    yield from _workspace_problems(service, row)
+
+
+def _workspace_problems(service: str, row: Row) -> Iterator[RowProblem]:
+    lowest = NO_PRIORITY if row.workspace else 0
+    if not lowest <= row.priority <= HIGHEST_PRIORITY_NUMBER:
+        reason = f"{row.priority} must be between {lowest} and {HIGHEST_PRIORITY_NUMBER}"
+        yield RowProblem(service, "priority", reason)
+    yield from _length_and_duplicate_problems(service, "key_digests", row.key_digests)
+    if not all(KEY_DIGEST_PATTERN.fullmatch(digest) for digest in row.key_digests):
+        yield RowProblem(service, "key_digests", "must be 32 hexadecimal digits each")
+    if row.key_digests and not row.workspace:
+        yield RowProblem(service, "key_digests", "need a workspace")
+    if row.workspace and not WORKSPACE_PATTERN.fullmatch(row.workspace):
+        yield RowProblem(service, "workspace", "must be 1 to 128 printable characters")
+    if row.workspace and (row.path_prefix or row.destinations):
+        yield RowProblem(service, "workspace", "must not stand in the row of a route")
 
 
 def _route_problems(service: str, row: Row) -> Iterator[RowProblem]:
--- a/jaypost/view.py
+++ b/jaypost/view.py
@@ -198,6 +198,7 @@
         self._cached_targets: Mapping[str, tuple[PlacedTarget, ...]] = MappingProxyType({})
         self._readers_by_domain: dict[str, tuple[str, ...]] = {}
         self._rollout_step_by_service: dict[str, RolloutStep] = {}
+        self._divider_ids: set[str] = set()
         # Number of changes of the reachability of nodes and of records, except for changes of the
         # stamp alone.
         self.change_count = 0
@@ -228,6 +229,7 @@
         targets: tuple[Target, ...] | None = None,
         control_address: Address | None = None,
         rollouts: tuple[RolloutStep, ...] | None = None,
+        divider_term: int | None = None,
     ) -> NodeRecord:
         """Change the own record and increment the sequence of its stamp."""
         own = self.own
@@ -237,6 +239,7 @@
             targets=own.targets if targets is None else targets,
             control_address=control_address or own.control_address,
             rollouts=own.rollouts if rollouts is None else rollouts,
+            divider_term=own.divider_term if divider_term is None else divider_term,
             stamp=Stamp(own.stamp.incarnation, own.stamp.sequence + 1),
         )
         self._store(record)
@@ -328,6 +331,11 @@
         if previous is None or self._differs_beyond_stamp(previous.record, record):
             self._mark_changed(record.node_id)
 
+    def divider(self) -> NodeRecord | None:
+        """Return the record of the node that divides allotments, None if there is none."""
+        records = [self._entry_by_id[i].record for i in self._divider_ids]
+        return max(records, key=lambda record: record.divider_term, default=None)
+
     def merge_rollout_steps(self, steps: Iterable[RolloutStep]) -> None:
         """Keep the newest known step of each service, also when its decider is gone."""
         for step in steps:
@@ -349,6 +357,8 @@
         self._toggle_in_hashes(entry)
         self._ids_by_leaf[entry.leaf].add(record.node_id)
         self._ids_by_domain.setdefault(record.failure_domain, _IdList()).add(record.node_id)
+        if record.divider_term and record.state is not NodeState.LEFT:
+            self._divider_ids.add(record.node_id)
         self._region_by_domain[record.failure_domain] = record.region
         for target in _current_targets(record):
             targets_by_node_id = self._targets_by_node_id_by_service.setdefault(target.service, {})
@@ -361,6 +371,7 @@
         record = entry.record
         self._toggle_in_hashes(entry)
         self._ids_by_leaf[entry.leaf].discard(record.node_id)
+        self._divider_ids.discard(record.node_id)
         self._ids_by_domain[record.failure_domain].remove(record.node_id)
         self._readers_by_domain.pop(record.failure_domain, None)
         for target in _current_targets(record):
--- a/standins/target.py
+++ b/standins/target.py
@@ -48,6 +48,7 @@
 # Default for a target without a node; nothing is expected to listen there.
 UNUSED_ADDRESS = Address("127.0.0.1", 1)
 STREAM_CHUNK = b"x" * 65_536
+KEPT_HEADS = 16  # heads of requests that a target keeps
 
 # Called with the status of the next service of a chain and whether its response is final.
 ChainCallback = Callable[[int, bool], None]
@@ -246,6 +247,7 @@
         assert head is not None
         self._running = True
         request_id = head.control.get(REQUEST_ID, b"").decode()
+        self._target.heads.append(head)
         self._journal_index = self._target.execution_started(
             JournalEntry(request_id, head.method, head.target, self._body_bytes, at_s=time.time())
         )
@@ -415,6 +417,8 @@
         self.node = node
         self.pool = ConnectionPool(node_settings())
         self.keep_journal = True
+        # Heads of the latest requests, the newest last.
+        self.heads: deque[RequestHead] = deque(maxlen=KEPT_HEADS)
         self.extra_headers: dict[bytes, bytes] = {}
         self.idle = asyncio.Event()
         self.idle.set()
--- /dev/null
+++ b/tests/allotments/test_divider.py
@@ -0,0 +1,258 @@
+"""The role of the divider: its lease in the store, and the shares that it grants meanwhile."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from dataclasses import dataclass, field, replace
+
+import pytest
+
+from jaypost.allotments.buckets import ShareBuckets, Taken
+from jaypost.allotments.divider import LEASE_TTL_S, Divider
+from jaypost.allotments.holder import LONGEST_WAIT_S, ShareHolder
+from jaypost.allotments.shares import LEASE_S, Demand
+from jaypost.messages import AllotmentReply, AllotmentRequest
+from jaypost.records import NodeRecord
+from jaypost.store import (
+    Conflict,
+    Effect,
+    LeaseExpired,
+    LeaseGranted,
+    LeaseHeld,
+    Stored,
+    StoreFailed,
+)
+from tests.allotments.test_shares import LIMITS, SEQUENCE, WORKSPACE
+from tests.gossip_fleet import make_record
+from tests.virtual_time import VirtualTimePolicy
+
+
+@pytest.fixture(scope="module")
+def event_loop_policy() -> VirtualTimePolicy:
+    return VirtualTimePolicy()
+
+
+def now() -> float:
+    return asyncio.get_running_loop().time()
+
+
+@dataclass
+class LeaseStore:
+    """One key under a lease; the store may be away, with leases that go on or pause."""
+
+    revision: int = 0
+    owner: str = ""
+    expires_at_by_lease: dict[str, float] = field(default_factory=dict)
+    is_away: bool = False
+
+    def _expire(self) -> None:
+        if self.owner and self.expires_at_by_lease.get(self.owner, 0.0) <= now():
+            self.owner = ""
+
+    async def grant_lease(self, ttl_s: float) -> LeaseGranted | StoreFailed:
+        if self.is_away:
+            return StoreFailed("away", Effect.UNKNOWN)
+        lease_id = str(len(self.expires_at_by_lease))
+        self.expires_at_by_lease[lease_id] = now() + ttl_s
+        return LeaseGranted(lease_id)
+
+    async def put(
+        self, key: str, value: bytes, if_revision: int | None, lease_id: str | None = None
+    ) -> Stored | Conflict | StoreFailed:
+        if self.is_away:
+            return StoreFailed("away", Effect.UNKNOWN)
+        self._expire()
+        if self.owner:
+            return Conflict(self.revision)
+        assert lease_id is not None
+        self.owner, self.revision = lease_id, self.revision + 1
+        return Stored(self.revision)
+
+    async def renew_lease(self, lease_id: str) -> LeaseHeld | LeaseExpired | StoreFailed:
+        if self.is_away:
+            return StoreFailed("away", Effect.UNKNOWN)
+        if self.expires_at_by_lease[lease_id] <= now():
+            return LeaseExpired()
+        self.expires_at_by_lease[lease_id] = now() + LEASE_TTL_S
+        return LeaseHeld()
+
+    async def delete(self, key: str, if_revision: int | None) -> Stored | Conflict:
+        if if_revision != self.revision:
+            return Conflict(self.revision)
+        self.owner = ""
+        return Stored(self.revision)
+
+
+@dataclass
+class Candidate:
+    """A node that divides while it is the candidate."""
+
+    store: LeaseStore
+    name: str
+    is_candidate: bool = True
+    term: int = 0
+
+    def __post_init__(self) -> None:
+        self.divider = Divider(
+            self.name,
+            self.store,
+            lambda: self.is_candidate,
+            lambda: LIMITS,
+            lambda: ("a", "b"),
+            self.publish,
+            clock=now,
+        )
+
+    def publish(self, term: int) -> None:
+        self.term = term
+
+    def rate_for(self, host: str, rate: float = 60.0, held: float = 0.0) -> float | None:
+        request = AllotmentRequest(
+            host, self.divider.term, 1, next(SEQUENCE), (Demand("lettings", rate, 0, held),)
+        )
+        reply = self.divider.handle(request)
+        return reply.grants[0].rate if reply is not None else None
+
+
+@asynccontextmanager
+async def running(*candidates: Candidate) -> AsyncIterator[None]:
+    for candidate in candidates:
+        candidate.divider.start()
+    await asyncio.sleep(1.0)
+    try:
+        yield
+    finally:
+        for candidate in candidates:
+            await candidate.divider.close()
+
+
+async def test_only_one_node_divides() -> None:
+    store = LeaseStore()
+    one, two = Candidate(store, "one"), Candidate(store, "two")
+    async with running(one, two):
+        await asyncio.sleep(10.0)
+        assert sorted([one.term > 0, two.term > 0]) == [False, True]
+
+
+async def test_node_hands_the_role_over_when_it_is_no_candidate_any_more() -> None:
+    store = LeaseStore()
+    one, two = Candidate(store, "one"), Candidate(store, "two", is_candidate=False)
+    async with running(one, two):
+        held = one.rate_for("a") or 0.0
+        one.is_candidate, two.is_candidate = False, True
+        await asyncio.sleep(2.0)
+        assert (one.term, one.rate_for("a")) == (0, None)
+        granted = two.rate_for("b")
+        assert granted is not None and held + granted <= 20.0
+
+
+@pytest.mark.parametrize("away_s", [1.0, 4.5, 20.0])
+async def test_nothing_is_granted_after_the_lease_may_have_ended(away_s: float) -> None:
+    """Guards against two dividers while one of them does not reach the store (QUOTA)."""
+    store = LeaseStore()
+    one = Candidate(store, "one")
+    async with running(one):
+        store.is_away = True
+        await asyncio.sleep(away_s)
+        may_be_lost = away_s >= LEASE_TTL_S
+        assert (one.rate_for("a") is None) is may_be_lost
+        store.is_away = False
+        await asyncio.sleep(2.0)
+        assert one.rate_for("a") is not None
+
+
+async def test_divider_that_is_lost_is_replaced_within_the_leases_of_the_hosts() -> None:
+    """Guards against requests that are refused because their divider was lost."""
+    store = LeaseStore()
+    one, two = Candidate(store, "one"), Candidate(store, "two", is_candidate=False)
+    async with running(one, two):
+        assert one.rate_for("a", 10.0, held=10.0) == pytest.approx(10.0)
+        one.is_candidate, one.divider._lease_id = False, None  # lost without a word to the store
+        two.is_candidate = True
+        await asyncio.sleep(LEASE_S - 1.0)
+        assert two.term > 0
+        assert two.rate_for("a", 10.0, held=10.0) == pytest.approx(10.0)
+
+
+@dataclass
+class Directory:
+    """The divider as a host reaches it."""
+
+    candidate: Candidate
+    is_cut: bool = False
+    asked: int = 0
+
+    def divider(self) -> NodeRecord | None:
+        if not self.candidate.term:
+            return None
+        record = make_record(self.candidate.name, "d", "r")
+        return replace(record, divider_term=self.candidate.term)
+
+    def host_count(self) -> int:
+        return 2
+
+    async def ask(
+        self, divider: NodeRecord, request: AllotmentRequest, timeout_s: float
+    ) -> AllotmentReply | None:
+        self.asked += 1
+        await asyncio.sleep(0.03)
+        if self.is_cut:
+            await asyncio.sleep(timeout_s)
+            return None
+        return self.candidate.divider.handle(request)
+
+
+@asynccontextmanager
+async def running_host(directory: Directory, name: str = "a") -> AsyncIterator[ShareHolder]:
+    holder = ShareHolder(name, 1, ShareBuckets(0.0), directory, random.Random(1), clock=now)
+    holder.start()
+    try:
+        yield holder
+    finally:
+        await holder.close()
+
+
+async def admit(holder: ShareHolder) -> bool:
+    outcome = holder.take(WORKSPACE)
+    if type(outcome).__name__ == "Short":
+        outcome = await holder.acquire(WORKSPACE)
+    return isinstance(outcome, Taken)
+
+
+async def test_first_request_of_a_host_waits_for_its_share() -> None:
+    """Guards against a request that is refused although its workspace has room."""
+    candidate = Candidate(LeaseStore(), "one")
+    directory = Directory(candidate)
+    async with running(candidate), running_host(directory) as holder:
+        await asyncio.sleep(LEASE_S + 1.0)
+        started_at = now()
+        assert await admit(holder)
+        assert now() - started_at < LONGEST_WAIT_S
+
+
+async def test_host_that_is_cut_off_uses_its_share_until_it_ends() -> None:
+    candidate = Candidate(LeaseStore(), "one")
+    directory = Directory(candidate)
+    async with running(candidate), running_host(directory) as holder:
+        await asyncio.sleep(LEASE_S + 1.0)
+        for _ in range(20):
+            await admit(holder)
+            await asyncio.sleep(0.1)
+        directory.is_cut = True
+        admitted = []
+        for _ in range(100):
+            await asyncio.sleep(0.1)
+            admitted.append(await admit(holder))
+        assert all(admitted[:30]) and not any(admitted[-20:])
+
+
+async def test_host_without_limited_requests_asks_nothing_after_the_first_report() -> None:
+    """Guards against messages on deployments that do not use allotments."""
+    candidate = Candidate(LeaseStore(), "one")
+    directory = Directory(candidate)
+    async with running(candidate), running_host(directory):
+        await asyncio.sleep(10.0)
+        assert directory.asked == 1
