Ask for request bodies only as fast as the link of the host takes them

Uploads of 60 KB bring 30 Mbit/s to five links of 7.5 Mbit/s, which also carry the short calls on which every fee-lodge waits twice.

Cause: slots of a target were counted, bytes on their way to it were not.

Change: package jaypost/links. A body of 10 ms or more on the receiver's link waits at its sender until the receiver asks for it by 100 Continue: about one at a time, by priority, and refused before it is sent when it would be late. The record of a host has the rate of its link.

--- a/jaypost/connections.py
+++ b/jaypost/connections.py
@@ -74,6 +74,9 @@
 
     __slots__ = ()
 
+    # Whether the request arrives over the link of the host.
+    uses_link = True
+
     @abstractmethod
     def send_head(self, head: ResponseHead) -> None:
         """Send the head of the response."""
--- a/jaypost/daemon.py
+++ b/jaypost/daemon.py
@@ -233,6 +233,7 @@
             Stamp(self._incarnation, 1),
             NodeState.JOINING,
             self.announcements.targets,
+            link_mbps=node_settings.link_mbps,
         )
         self.view = MembershipView(
             record, time.monotonic(), node_settings.suspicion_s, node_settings.readers_per_domain
@@ -345,6 +346,9 @@
         self.settings = self.ingress.settings = self.egress.settings = new
         self.announcements.apply_settings(new)
         self.uplink.set_rate(new.link_mbps)
+        if new.link_mbps != self.egress.body_grants.link_mbps:
+            self.egress.body_grants.link_mbps = new.link_mbps
+            self.gossip.publish(link_mbps=new.link_mbps)
 
     async def close(self) -> None:
         """Cancel the background tasks, then close every component."""
@@ -522,6 +526,7 @@
             {service: self.health.ejected_count(service, now) for service in services}
         )
         metrics.allotments_changed(self.allotments.rates())
+        metrics.body_backlog_changed(self.egress.body_grants.backlog_s())
         metrics.rollouts_changed({step.service: step.share for step in self.rollouts.steps()})
         self._count_offer_outcomes(metrics)
 
--- a/jaypost/egress.py
+++ b/jaypost/egress.py
@@ -6,7 +6,7 @@
 import itertools
 import time
 from collections import deque
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass, replace
 from http import HTTPStatus
 
@@ -70,6 +70,13 @@
 from jaypost.errors import ANSWER_BY_KIND, ErrorKind, RunState
 from jaypost.invariants import check
 from jaypost.limits import FleetLimits, LimitQuery
+from jaypost.links.grants import (
+    BodyDecision,
+    BodyGranted,
+    BodyGrants,
+    BodyRefused,
+    BodyRequest,
+)
 from jaypost.logs import EventName
 from jaypost.pools import CallFailed, ConnectionPool, PooledExchange, Receiver
 from jaypost.records import Address, Load, PlacedTarget, Row, Snapshot, Target, TargetState
@@ -88,6 +95,10 @@
 # Value of `ANSWER_BY_MS` for a request without that header; longer than any deadline.
 DEFAULT_ANSWER_BY_MS = 1_000_000_000
 
+# Part of the time until its deadline that the body of a request may take to arrive. The rest is for
+# its execution and the response.
+BODY_TIME_FRACTION = 0.6
+
 # Control headers that are passed on to the target unchanged.
 _FORWARDED_CONTROL = (HOST, REQUEST_ID, TENANT, WORKSPACE, RETRY, IDEMPOTENCY_KEY, CALLER, TARGET)
 
@@ -112,6 +123,7 @@
         "_body_chunks",
         "_body_complete",
         "_body_paused",
+        "_body_ticket",
         "_call_class",
         "_counted_by_limits",
         "_deadline",
@@ -156,6 +168,8 @@
         self._body_complete = False
         # Whether the target takes no more of the body now.
         self._body_paused = False
+        # Identifies the body on the link, from its request until it has arrived.
+        self._body_ticket = ""
         self._exchange: PooledExchange | None = None
         self._response_status = 0
         self._response_bytes = 0
@@ -176,10 +190,55 @@
             return
         limit = self._egress.settings.buffered_body_bytes
         self._streaming = self._head.chunked or (self._head.content_length or 0) > limit
-        if self._streaming or self._head.expect_continue:
-            self._streaming = True
+        if self._streaming:
             self._responder.pause_body()
             self._ask_for_slot()
+        elif self._head.expect_continue:
+            self._ask_for_body(may_be_refused=True)
+
+    def _ask_for_body(self, may_be_refused: bool) -> None:
+        """Ask the sender for the body when the link has room for it."""
+        egress = self._egress
+        if not self._responder.uses_link:
+            self._responder.send_continue()
+            return
+        control = self._head.control
+        now = egress.clock()
+        self._body_ticket = egress.new_ticket()
+        egress.call_by_body_ticket[self._body_ticket] = self
+        egress.apply_body_decisions(
+            (
+                egress.body_grants.request(
+                    BodyRequest(
+                        self._body_ticket,
+                        self._head.content_length or 0,
+                        _int_or_default(control.get(PRIORITY), 0),
+                        self._latest_body_arrival(now) if may_be_refused else float("inf"),
+                        not may_be_refused or control.get(MAY_QUEUE) == b"1",
+                        now,
+                    )
+                ),
+            )
+        )
+
+    def _latest_body_arrival(self, now: float) -> float:
+        """Return the time at which the body must be here, so that the request can still run."""
+        return now + BODY_TIME_FRACTION * (self._deadline - now)
+
+    def on_body_decision(self, decision: BodyDecision) -> None:
+        """Ask for the body, or refuse the request before its body is sent."""
+        if isinstance(decision, BodyGranted):
+            self._responder.send_continue()
+        elif isinstance(decision, BodyRefused):
+            self._refuse(ErrorKind.LINK_FULL)
+
+    def _end_body(self) -> None:
+        """Note that the link does not carry the body any more."""
+        ticket, self._body_ticket = self._body_ticket, ""
+        if ticket:
+            egress = self._egress
+            del egress.call_by_body_ticket[ticket]
+            egress.apply_body_decisions(egress.body_grants.ended(ticket, egress.clock()))
 
     def _check_head(self) -> ErrorKind | None:
         egress = self._egress
@@ -349,6 +408,7 @@
         if self._done:
             return
         self._body_complete = True
+        self._end_body()
         if not self._streaming:
             self._ask_for_slot()
         elif self._exchange is not None and self._exchange.reached:
@@ -373,7 +433,7 @@
             self._complete_request(self._exchange)
             return
         if self._head.expect_continue:
-            self._responder.send_continue()
+            self._ask_for_body(may_be_refused=False)
         if not self._body_paused:
             self._responder.resume_body()
 
@@ -584,6 +644,7 @@
             self._timeout_timer.cancel()
             self._timeout_timer = None
         egress.in_flight.leave()
+        self._end_body()
         egress.call_by_ticket.pop(self._ticket, None)
         egress.queued_tickets.discard(self._ticket)
         if self._counted_by_limits and self._row is not None:
@@ -754,6 +815,8 @@
         self._drain_delay_end_by_id: dict[str, float] = {}
         self.call_by_ticket: dict[str, EgressCall] = {}
         self.queued_tickets: set[str] = set()
+        self.body_grants = BodyGrants(settings.link_mbps)
+        self.call_by_body_ticket: dict[str, EgressCall] = {}
         self._fleet_slots_snapshot: Snapshot | None = None
         self._fleet_slots_by_service: dict[str, FleetSlots] = {}
         self._ticket_numbers = itertools.count(1)
@@ -966,6 +1029,15 @@
         finally:
             self._applying_decisions = False
 
+    def apply_body_decisions(self, decisions: Iterable[BodyDecision]) -> None:
+        """Pass decisions about bodies to their calls."""
+        for decision in decisions:
+            call = self.call_by_body_ticket.get(decision.ticket)
+            if call is not None:
+                call.on_body_decision(decision)
+        if self.body_grants.has_waiting:
+            self.start_tick_timer()
+
     def start_tick_timer(self) -> None:
         """Start the timer of the next `Tick`, which refuses queued calls that would be late."""
         if self._tick_timer is None:
@@ -974,6 +1046,7 @@
     def _tick(self) -> None:
         self._tick_timer = None
         self.handle(Tick(self.clock()))
+        self.apply_body_decisions(self.body_grants.tick(self.clock()))
         if self.queued_tickets:
             self.start_tick_timer()
 
--- a/jaypost/gossip.py
+++ b/jaypost/gossip.py
@@ -444,9 +444,16 @@
         targets: tuple[Target, ...] | None = None,
         rollouts: tuple[RolloutStep, ...] | None = None,
         divider_term: int | None = None,
+        link_mbps: float | None = None,
     ) -> NodeRecord:
         """Change the own record and queue it for the next push."""
-        record = self._view.update_own(state, targets, rollouts=rollouts, divider_term=divider_term)
+        record = self._view.update_own(
+            state,
+            targets,
+            rollouts=rollouts,
+            divider_term=divider_term,
+            link_mbps=link_mbps,
+        )
         self._queue_records(record)
         return record
 
--- a/jaypost/ingress.py
+++ b/jaypost/ingress.py
@@ -61,6 +61,7 @@
 from jaypost.egress import Egress
 from jaypost.errors import ANSWER_BY_KIND, ErrorKind, RunState
 from jaypost.invariants import check
+from jaypost.links.grants import needs_grant
 from jaypost.local_exchange import LocalExchange
 from jaypost.logs import EventName
 from jaypost.placement import (
@@ -155,6 +156,7 @@
 
     __slots__ = (
         "_call",
+        "awaits_grant",
         "exchange",
         "failure",
         "is_long_work",
@@ -172,6 +174,8 @@
         self.started_at = started_at
         # Whether the request is long work, according to its row or to the egress.
         self.is_long_work = False
+        # Whether the buffered body is sent only when the host of the target asks for it.
+        self.awaits_grant = False
         self.exchange: Exchange | None = None
         # Set when the response is not forwarded to the caller. The attempt fails only after the
         # response body has been read, so that the connection can be reused.
@@ -520,7 +524,16 @@
         self._start_first_attempt()
 
     def on_attempt_continue(self, attempt: Attempt) -> None:
-        """Send the large request body to the target that asked for it, and to no other target."""
+        """Send the request body to the target that asked for it.
+
+        A body that is not wholly buffered goes to no other target.
+        """
+        if attempt.awaits_grant and attempt in self._live_attempts:
+            assert attempt.exchange is not None
+            attempt.awaits_grant = False
+            attempt.exchange.send_body(b"".join(self._body_chunks))
+            attempt.exchange.send_end()
+            return
         if not self._streaming or self._forwarding_body or attempt not in self._live_attempts:
             return
         assert attempt.exchange is not None
@@ -695,10 +708,14 @@
     def _send(self, attempt: Attempt, row: Row, now: float, hedge: bool) -> None:
         ingress = self._ingress
         self._body_paused = False
+        placed = attempt.placed
+        is_remote = placed.node_id != ingress.settings.node_id
+        attempt.awaits_grant = (
+            is_remote and not self._streaming and needs_grant(self._body_bytes, placed.link_mbps)
+        )
         head = self._request_head(attempt, now, hedge)
-        complete = not self._streaming
+        complete = not self._streaming and not attempt.awaits_grant
         body = b"".join(self._body_chunks) if complete else b""
-        placed = attempt.placed
         if ingress.local_egress is not None and placed.node_id == ingress.settings.node_id:
             local_exchange = LocalExchange(ingress.local_egress, head, body, complete, attempt)
             attempt.exchange = local_exchange
@@ -752,7 +769,7 @@
             head.headers,
             length,
             chunked,
-            expect_continue=self._streaming,
+            expect_continue=self._streaming or attempt.awaits_grant,
         )
 
     def _priority(self) -> int:
--- a/jaypost/local_exchange.py
+++ b/jaypost/local_exchange.py
@@ -99,6 +99,8 @@
 
     __slots__ = ("receiver",)
 
+    uses_link = False
+
     def __init__(self, receiver: Receiver) -> None:
         self.receiver: Receiver | None = receiver
 
--- a/jaypost/metrics.py
+++ b/jaypost/metrics.py
@@ -185,6 +185,10 @@
         self._allotment_rate = self._gauge(
             "allotment_rate", "Requests per second that this host may admit, by workspace"
         )
+        self._body_backlog = self._gauge(
+            "body_backlog_seconds",
+            "Time that the link takes for the bodies that are on their way or wait at their senders",
+        )
         self._rollout_share = self._gauge(
             "rollout_share", "Fraction of the requests that go to the new version of a service"
         )
@@ -257,6 +261,10 @@
         """Set the share that this host has of the limit of each workspace."""
         self._set_all(self._allotment_rate, "workspace", rate_by_workspace)
 
+    def body_backlog_changed(self, backlog_s: float) -> None:
+        """Set the time in seconds that the link takes for all bodies known now."""
+        self._body_backlog.set({}, backlog_s)
+
     def rollouts_changed(self, share_by_service: Mapping[str, float]) -> None:
         """Set the share that the new version of each service gets, as this node knows it."""
         self._set_all(self._rollout_share, "service", share_by_service)
--- a/jaypost/records.py
+++ b/jaypost/records.py
@@ -336,7 +336,8 @@
     Other nodes send requests for its targets to `peer_address` and control messages to
     `control_address`; its admin server listens on `admin_address`. `rollouts` has the steps that
     the node decided on. `divider_term` is above 0 while the node divides allotments; the divider
-    with the highest term is the present one.
+    with the highest term is the present one. `link_mbps` is the rate of the host's link in megabits
+    per second, 0 when it is not known.
     """
 
     node_id: str
@@ -350,6 +351,7 @@
     targets: tuple[Target, ...] = ()
     rollouts: tuple[RolloutStep, ...] = ()
     divider_term: int = 0
+    link_mbps: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -362,7 +364,7 @@
 
 @dataclass(frozen=True, slots=True)
 class PlacedTarget:
-    """A target with the location and address of its node, as used by placement."""
+    """A target with the location, address and link of its node, as used by placement."""
 
     target: Target
     node_id: str
@@ -370,6 +372,7 @@
     region: str
     peer_address: Address
     reachable: bool = True
+    link_mbps: float = 0.0
 
 
 class RouteIndex:
--- a/jaypost/view.py
+++ b/jaypost/view.py
@@ -230,6 +230,7 @@
         control_address: Address | None = None,
         rollouts: tuple[RolloutStep, ...] | None = None,
         divider_term: int | None = None,
+        link_mbps: float | None = None,
     ) -> NodeRecord:
         """Change the own record and increment the sequence of its stamp."""
         own = self.own
@@ -240,6 +241,7 @@
             control_address=control_address or own.control_address,
             rollouts=own.rollouts if rollouts is None else rollouts,
             divider_term=own.divider_term if divider_term is None else divider_term,
+            link_mbps=own.link_mbps if link_mbps is None else link_mbps,
             stamp=Stamp(own.stamp.incarnation, own.stamp.sequence + 1),
         )
         self._store(record)
@@ -764,6 +766,7 @@
                         record.region,
                         record.peer_address,
                         reachable,
+                        record.link_mbps,
                     )
                 )
         return tuple(placed)
