Lease rate and room by demand, and keep tokens for hosts that are short

Cause: each host was leased 2.5 times its demand and at least 0.5 requests a second, with room for 0.25 s of it. The many hosts with rare requests of a workspace held its whole limit, and a second request within two seconds found neither a token nor any at the divider.

Change: 85% of the rate and 70% of the room are leased by demand, with a slow estimate for rare requests; the divider keeps the rest as tokens for requests that wait. The room is the burst and what operators accept beyond a limit in a window.

--- a/jaypost/allotments/buckets.py
+++ b/jaypost/allotments/buckets.py
@@ -12,12 +12,13 @@
 from jaypost.allotments.shares import LEASE_S, Demand, Grant
 from jaypost.workspaces.keys import Workspace
 
-# Tokens that a host keeps, in seconds of its rate; at least one, so that one request can pass.
-CAPACITY_S = 0.25
-# Time constant of the estimate of the demand.
-DEMAND_TIME_S = 1.0
+# Time constants of the two estimates of the demand. The slow one keeps the share of a host whose
+# requests are rare steady, the fast one follows a rise.
+SLOW_DEMAND_TIME_S = 5.0
+FAST_DEMAND_TIME_S = 1.0
+FAST_DEMAND_WEIGHT = 0.5
 # A workspace without requests for this long gives its share back.
-IDLE_S = 3.0
+IDLE_S = 10.0
 # Time in seconds after a grant for which a host does not ask for more tokens, and the same when the
 # divider could not give what was asked.
 ASK_PAUSE_S = 0.25
@@ -51,19 +52,23 @@
 class _Bucket:
     """Share of one workspace on this host.
 
-    `waiting` is the number of requests that wait for the next grant, `is_pressed` tells whether the
-    last one was less than was asked for, and `returns_at` is the time for which the last refused
-    caller was asked to come back.
+    `tokens` are those of the share, up to its room; `granted_tokens` came with the last grant, for
+    requests that waited. `waiting` is the number of requests that wait for the next grant,
+    `is_pressed` tells whether the last one was less than was asked for, and `returns_at` is the
+    time for which the last refused caller was asked to come back.
     """
 
     workspace: Workspace
     refilled_at: float
     rate: float = 0.0
+    room: float = 1.0
     granted_limit: float = 0.0
     expires_at: float = float("-inf")
     granted_at: float = float("-inf")
     tokens: float = 0.0
-    demand: float = 0.0
+    granted_tokens: float = 0.0
+    slow_demand: float = 0.0
+    fast_demand: float = 0.0
     demand_at: float = 0.0
     last_request_at: float = float("-inf")
     waiting: int = 0
@@ -102,6 +107,9 @@
         self._refill(bucket, now)
         if may_wait:
             self._count_demand(bucket, now)
+        if bucket.granted_tokens >= 1.0:
+            bucket.granted_tokens -= 1.0
+            return Taken()
         if bucket.tokens >= 1.0:
             bucket.tokens -= 1.0
             return Taken()
@@ -138,6 +146,7 @@
                 self._demand_of(bucket, now),
                 bucket.waiting,
                 bucket.rate if bucket.expires_at > now else 0.0,
+                bucket.room if bucket.expires_at > now else 0.0,
             )
             for name, bucket in self._bucket_by_workspace.items()
         )
@@ -150,10 +159,12 @@
                 continue
             self._refill(bucket, now)
             bucket.rate, bucket.granted_limit = grant.rate, grant.limit
+            bucket.room = grant.room
             bucket.expires_at = asked_at + LEASE_S
             bucket.granted_at = now
             bucket.is_pressed = grant.rate < self._demand_of(bucket, now)
-            bucket.tokens += grant.tokens
+            bucket.tokens = min(bucket.tokens, bucket.room)
+            bucket.granted_tokens = grant.tokens
 
     def rates(self, now: float) -> dict[str, float]:
         """Return the present share of each workspace in requests per second, by name."""
@@ -184,17 +195,24 @@
         rate = self._rate(bucket, now)
         passed_s = max(0.0, now - bucket.refilled_at)
         bucket.refilled_at = max(bucket.refilled_at, now)
-        capacity = max(1.0, CAPACITY_S * rate)
-        if bucket.tokens < capacity:
-            bucket.tokens = min(capacity, bucket.tokens + rate * passed_s)
+        room = bucket.room if bucket.expires_at > now else 1.0
+        bucket.tokens = min(room, bucket.tokens + rate * passed_s)
 
-    def _count_demand(self, bucket: _Bucket, now: float) -> None:
-        bucket.demand = self._demand_of(bucket, now) + 1.0 / DEMAND_TIME_S
+    @staticmethod
+    def _count_demand(bucket: _Bucket, now: float) -> None:
+        passed_s = max(0.0, now - bucket.demand_at)
+        bucket.slow_demand *= math.exp(-passed_s / SLOW_DEMAND_TIME_S)
+        bucket.fast_demand *= math.exp(-passed_s / FAST_DEMAND_TIME_S)
+        bucket.slow_demand += 1.0 / SLOW_DEMAND_TIME_S
+        bucket.fast_demand += 1.0 / FAST_DEMAND_TIME_S
         bucket.demand_at = bucket.last_request_at = now
 
     @staticmethod
     def _demand_of(bucket: _Bucket, now: float) -> float:
-        return bucket.demand * math.exp(-max(0.0, now - bucket.demand_at) / DEMAND_TIME_S)
+        passed_s = max(0.0, now - bucket.demand_at)
+        slow = bucket.slow_demand * math.exp(-passed_s / SLOW_DEMAND_TIME_S)
+        fast = bucket.fast_demand * math.exp(-passed_s / FAST_DEMAND_TIME_S)
+        return max(slow, FAST_DEMAND_WEIGHT * fast)
 
     def _retry_after_s(self, bucket: _Bucket, now: float) -> float:
         """Return when the next token is free, behind those of the callers refused before."""
--- a/jaypost/allotments/divider.py
+++ b/jaypost/allotments/divider.py
@@ -134,6 +134,11 @@
         grants = self._ledger.request(asker, request.demands, self._limits(), now)
         return AllotmentReply(grants)
 
+    def forget_lease(self) -> None:
+        """End the term: the store has come back from an older copy, without the lease."""
+        if self._lease_id is not None:
+            self._end_term()
+
     async def _run(self) -> None:
         while True:
             if not self._is_candidate() or not self._limits():
@@ -156,7 +161,16 @@
         self._lease_id, self.term = granted.lease_id, stored.revision
         self._valid_until = sent_at + LEASE_TTL_S
         self._ledger = ShareLedger(hosts, self._clock())
-        log.info(EventName.DIVIDER_CHANGED, node=self._node_id, divides=True, term=self.term)
+        rates = [limit.rate for limit in self._limits().values()]
+        log.info(
+            EventName.DIVIDER_CHANGED,
+            node=self._node_id,
+            divides=True,
+            term=self.term,
+            limits=len(rates),
+            lowest=min(rates, default=0.0),
+            total=sum(rates),
+        )
         self._publish_term(self.term)
 
     async def _renew(self) -> None:
--- a/jaypost/allotments/holder.py
+++ b/jaypost/allotments/holder.py
@@ -132,7 +132,7 @@
         now = self._clock()
         demands = self._buckets.demands(now)
         # A new divider waits until every host has told it what it holds.
-        is_new = divider is not None and divider.divider_term > self._known_term
+        is_new = divider is not None and divider.divider_term != self._known_term
         if divider is None or not (demands or is_new):
             return
         self._sequence += 1
--- a/jaypost/allotments/node.py
+++ b/jaypost/allotments/node.py
@@ -53,6 +53,7 @@
         is_ready: Callable[[], bool],
         rng: random.Random,
     ) -> None:
+        self._settings = settings
         self._gossip = gossip
         self._view = view
         self._workspaces = workspaces
@@ -80,6 +81,10 @@
             self._holder.start()
             self._divider.start()
 
+    def forget_lease(self) -> None:
+        """Claim the role of the divider again: the store has come back from an older copy."""
+        self._divider.forget_lease()
+
     async def close(self) -> None:
         """Stop the tasks and give the role of the divider up."""
         await self._holder.close()
@@ -91,12 +96,22 @@
         if index is not self._limits_of:
             self._limits_of = index
             self._limit_by_workspace = {
-                name: Limit(item.rate_limit, item.rate_burst)
+                name: Limit(item.rate_limit, self._room(item))
                 for name, item in index.workspace_by_name.items()
                 if item.rate_limit
             }
         return self._limit_by_workspace
 
+    def _room(self, workspace: Workspace) -> float:
+        """Return how many requests beyond the rate may be admitted in a short time.
+
+        It is the burst, and what the operators accept beyond the limit in a window.
+        """
+        settings = self._settings
+        in_window = settings.allotment_window_s * workspace.rate_limit + workspace.rate_burst
+        accepted = settings.allotment_tolerance * in_window + settings.allotment_slack
+        return workspace.rate_burst + accepted
+
     # Allotments, as the ingress uses them
 
     def take(self, workspace: Workspace) -> TakeOutcome:
--- a/jaypost/allotments/shares.py
+++ b/jaypost/allotments/shares.py
@@ -1,9 +1,9 @@
 """Division of limits among the hosts where requests arrive.
 
-The sum of the rates that are leased never exceeds the limit. A lease that its host has not given
-back counts until it has expired, also when the host is cut off or dead. A share that becomes
-smaller counts in full until the host tells that it has the smaller one, because the reply may be
-lost.
+Each host gets a rate and room for a burst. Neither the rates nor the room of all hosts together
+exceed what the limit allows. A lease that its host has not given back counts until it has expired,
+also when the host is cut off or dead. A share that becomes smaller counts in full until the host
+tells that it has the smaller one, because the reply may be lost.
 
 The module does no input or output, and time is passed in.
 """
@@ -18,25 +18,33 @@
 # Time in seconds for which a share is leased. It bridges a change of the divider, and a store that
 # is away for some seconds.
 LEASE_S = 6.0
-# A host gets this multiple of its demand while the limit leaves room, and at least this rate, so
-# that a rise of its demand waits for no message.
-HEADROOM = 2.5
-MIN_RATE = 0.5
-# Fraction of the limit that the demand of all hosts may reach before it is divided by demand alone.
-PRESSED_FRACTION = 0.6
-# Time in seconds of its rate that a host gets at once from the unused part of the burst, when
-# requests wait there. Hosts without waiting requests get none, so that they do not hoard them.
-TOKENS_AHEAD_S = 0.25
-# Tolerance of the sum of rates, for rounding.
+# Parts of the rate and of the room that are leased. The rest stays with the divider, for hosts
+# whose share is too small at a moment, and for hosts that are new.
+LEASED_RATE_FRACTION = 0.85
+LEASED_ROOM_FRACTION = 0.7
+KEPT_ROOM_FRACTION = 0.2
+# Demand in requests per second that is added for each host, so that one whose requests are rare has
+# a share as well.
+MIN_DEMAND = 0.05
+# Tokens that a host with a new lease has at once.
+FIRST_TOKENS = 1.0
 SUM_TOLERANCE = 1e-6
 
 
 @dataclass(frozen=True, slots=True)
 class Limit:
-    """Limit of a workspace: requests per second, and requests beyond it at once."""
+    """Limit of a workspace.
+
+    Parameters
+    ----------
+    rate : float
+        Requests per second.
+    room : float
+        Requests beyond the rate that may be admitted in a short time.
+    """
 
     rate: float
-    burst: float
+    room: float
 
 
 @dataclass(frozen=True, slots=True)
@@ -51,14 +59,15 @@
         Requests per second that arrived lately, also those that were refused.
     short : int
         Requests that wait for a token.
-    held : float
-        Rate that the host still holds, from this divider or from an earlier one.
+    held_rate, held_room : float
+        Share that the host still holds, from this divider or from an earlier one.
     """
 
     workspace: str
     rate: float
     short: int = 0
-    held: float = 0.0
+    held_rate: float = 0.0
+    held_room: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -71,14 +80,17 @@
         Name of the workspace.
     rate : float
         Requests per second until the lease expires; it replaces the rate that was held.
+    room : float
+        Tokens that the host may keep.
     tokens : float
         Requests that may be admitted at once, in addition.
     limit : float
-        Limit of the workspace that was divided.
+        Limit of the workspace that was divided, in requests per second.
     """
 
     workspace: str
     rate: float
+    room: float
     tokens: float
     limit: float
 
@@ -94,22 +106,24 @@
 
 @dataclass(frozen=True, slots=True)
 class _Lease:
-    """A leased share; `rate` is the largest one that the host may use until it asks again."""
+    """A leased share; the largest that the host may use until it asks again."""
 
     rate: float
+    room: float
     demand: float
     expires_at: float
 
 
 @dataclass(slots=True)
 class _Book:
-    """Leases of one workspace, and the tokens that no lease has used."""
+    """Leases of one workspace, and the tokens that the divider keeps."""
 
     refilled_at: float
     tokens: float = 0.0
     lease_by_host: dict[str, _Lease] = field(default_factory=dict)
-    # Rate that hosts reported to hold from an earlier divider.
-    reported: float = 0.0
+    # Share that hosts reported to hold from an earlier divider.
+    reported_rate: float = 0.0
+    reported_room: float = 0.0
 
 
 class ShareLedger:
@@ -167,13 +181,14 @@
             if asker.sequence <= newest.sequence:
                 return ()
         self._newest_asker_by_host[host] = asker
-        is_first_report = host in self._unreported
-        grants = []
         demands = tuple(demands)
-        if is_first_report:
-            for demand in demands:
-                self._book(demand.workspace).reported += max(0.0, demand.held)
+        if host in self._unreported:
             self._unreported.discard(host)
+            for demand in demands:
+                book = self._book(demand.workspace)
+                book.reported_rate += max(0.0, demand.held_rate)
+                book.reported_room += max(0.0, demand.held_room)
+        grants = []
         for demand in demands:
             limit = limit_by_workspace.get(demand.workspace)
             if limit is not None and limit.rate > 0.0:
@@ -184,13 +199,6 @@
                 book.lease_by_host.pop(host, None)
         return tuple(grants)
 
-    def leased(self, workspace: str, now: float) -> float:
-        """Return the sum of the rates that are leased now."""
-        book = self._book_by_workspace.get(workspace)
-        if book is None:
-            return 0.0
-        return sum(item.rate for item in book.lease_by_host.values() if item.expires_at > now)
-
     def _book(self, workspace: str) -> _Book:
         book = self._book_by_workspace.get(workspace)
         if book is None:
@@ -202,40 +210,48 @@
         leases = book.lease_by_host
         for other in [i for i, lease in leases.items() if lease.expires_at <= now]:
             del leases[other]
-        self._refill(book, limit, now)
-        leases.pop(host, None)
-        available = limit.rate
-        if self.is_recovering(now):
-            available = min(available, book.reported)
-        others = sum(lease.rate for lease in leases.values())
-        total_demand = demand.rate + sum(lease.demand for lease in leases.values())
-        rate = max(0.0, min(available - others, _wanted_rate(demand, total_demand, limit)))
-        leases[host] = _Lease(max(rate, demand.held), demand.rate, now + LEASE_S)
-        wanted_tokens = demand.short + TOKENS_AHEAD_S * rate if demand.short else 0.0
-        tokens = min(book.tokens, wanted_tokens)
-        book.tokens -= tokens
+        is_new = leases.pop(host, None) is None and not demand.held_room
+        others_rate = sum(lease.rate for lease in leases.values())
+        others_room = sum(lease.room for lease in leases.values())
+        rate_to_lease = LEASED_RATE_FRACTION * limit.rate
+        room_to_lease = LEASED_ROOM_FRACTION * limit.room
+        recovering = self.is_recovering(now)
+        if recovering:
+            rate_to_lease = min(rate_to_lease, book.reported_rate)
+            room_to_lease = min(room_to_lease, book.reported_room)
+        total = sum(lease.demand + MIN_DEMAND for lease in leases.values())
+        weight = (demand.rate + MIN_DEMAND) / (total + demand.rate + MIN_DEMAND)
+        rate = _share(weight, rate_to_lease, others_rate)
+        room = _share(weight, room_to_lease, others_room)
+        leases[host] = _Lease(
+            max(rate, demand.held_rate), max(room, demand.held_room), demand.rate, now + LEASE_S
+        )
         check(
-            rate == 0.0 or others + rate <= limit.rate + SUM_TOLERANCE,
+            (not rate or others_rate + rate <= limit.rate + SUM_TOLERANCE)
+            and (not room or others_room + room <= limit.room + SUM_TOLERANCE),
             "allotment_sum",
             workspace=demand.workspace,
-            leased=others + rate,
-            limit=limit.rate,
+            rate=others_rate + rate,
+            room=others_room + room,
         )
-        return Grant(demand.workspace, rate, tokens, limit.rate)
-
-    def _refill(self, book: _Book, limit: Limit, now: float) -> None:
-        """Add the tokens of the part of the limit that was not leased."""
-        if not self.is_recovering(now):
+        self._refill(book, limit, recovering, now)
+        tokens = min(book.tokens, float(demand.short))
+        book.tokens -= tokens
+        if is_new and not recovering:
+            tokens = max(tokens, min(FIRST_TOKENS, room))
+        return Grant(demand.workspace, rate, room, tokens, limit.rate)
+
+    @staticmethod
+    def _refill(book: _Book, limit: Limit, recovering: bool, now: float) -> None:
+        """Add the tokens of the part of the rate that is not leased."""
+        if not recovering:
             leased = sum(lease.rate for lease in book.lease_by_host.values())
-            unused = max(0.0, limit.rate - leased)
-            book.tokens += unused * max(0.0, now - book.refilled_at)
-        book.tokens = min(book.tokens, max(1.0, limit.burst))
+            passed_s = max(0.0, now - book.refilled_at)
+            book.tokens += max(0.0, limit.rate - leased) * passed_s
+        book.tokens = min(book.tokens, max(1.0, KEPT_ROOM_FRACTION * limit.room))
         book.refilled_at = max(book.refilled_at, now)
 
 
-def _wanted_rate(demand: Demand, total_demand: float, limit: Limit) -> float:
-    """Return the rate that a host should get, if that much is free."""
-    roomy = HEADROOM * demand.rate + min(MIN_RATE, limit.rate)
-    if total_demand <= PRESSED_FRACTION * limit.rate:
-        return min(roomy, limit.rate)
-    return min(roomy, limit.rate * demand.rate / total_demand) if total_demand else 0.0
+def _share(weight: float, to_lease: float, others: float) -> float:
+    """Return a share by weight, as far as others do not hold it still."""
+    return max(0.0, min(weight * to_lease, to_lease - others))
--- a/jaypost/metrics.py
+++ b/jaypost/metrics.py
@@ -187,7 +187,7 @@
         )
         self._body_backlog = self._gauge(
             "body_backlog_seconds",
-            "Time that the link takes for the bodies that are on their way or wait at their senders",
+            "Time that the link takes for the bodies on their way or waiting at their senders",
         )
         self._rollout_share = self._gauge(
             "rollout_share", "Fraction of the requests that go to the new version of a service"
--- a/jaypost/settings.py
+++ b/jaypost/settings.py
@@ -83,6 +83,8 @@
     retry_ratio: float
     exposure_share: float
     allotment_tolerance: float
+    allotment_window_s: float
+    allotment_slack: float
     link_mbps: float
     max_files: int
     log_level: str
@@ -361,7 +363,15 @@
     "allotment_tolerance": Setting(
         "0.1",
         _number_parser(float, 0, 1),
-        "fraction of the limit of a workspace that hosts which hold no share may use together",
+        "fraction of the limit of a workspace that may be admitted beyond it in a window",
+    ),
+    "allotment_window_s": Setting(
+        "5", _parse_seconds, "window in which a limit of a workspace is checked, in seconds"
+    ),
+    "allotment_slack": Setting(
+        "0",
+        _number_parser(float, 0, 1_000_000),
+        "requests that may be admitted beyond a limit in a window, in addition to the fraction",
     ),
     "link_mbps": Setting(
         "0",
