Go on when the store comes back from an older copy

After a drill the readers of the table waited for a revision above one that the store had lost, so that a version that the operator wrote again was not read; leases could be renewed under numbers given out again.

Change: every store client keeps the era that the responses tell. Readers read the table and orders at any revision in a new era; steps of roll-outs, the divider's role, seeds and departures are written again by their owners.

--- a/jaypost/daemon.py
+++ b/jaypost/daemon.py
@@ -92,6 +92,9 @@
 # over which their reads are spread.
 FIRST_READ_INTERVAL_S = 0.25
 FIRST_READS_MAX_SPREAD_S = 10.0
+# Time over which the nodes spread the writes of what a store has lost that came back from an older
+# copy.
+REWRITE_SPREAD_S = 1.0
 # Timeout of each of the last two steps, notifying the peers and closing the components. Both may
 # wait for a peer that is cut off and never answers.
 SHUTDOWN_STEP_TIMEOUT_S = 0.3
@@ -209,6 +212,7 @@
     async def start(self) -> None:
         """Open all sockets, then join the fleet in the background."""
         await self.store.start()
+        self.store.on_era_changed = self._on_store_era_changed
         self.announcements.start()
         await self.admin.bind()
         peer_address = await self.egress.start()
@@ -239,7 +243,7 @@
             record, time.monotonic(), node_settings.suspicion_s, node_settings.readers_per_domain
         )
         channels = PeerChannels(node_settings.connect_timeout_s)
-        seeds = StoreSeeds(
+        self._seeds = seeds = StoreSeeds(
             self.store, node_settings.failure_domain, node_settings.node_id, node_settings.region
         )
         self.gossip = Gossip(node_settings, self.view, self.holder, channels, self._rng, seeds)
@@ -257,6 +261,7 @@
             node_settings,
             is_candidate=self.gossip.is_store_candidate,
             is_isolated=lambda: self.gossip.is_isolated,
+            store_era=lambda: self.store.era,
             source=self._integration.make_table_source(node_settings),
         )
         self.gossip.on_store_reading_changed = self.reader.notify_role_changed
@@ -287,6 +292,7 @@
             self._integration.rollout_keys,
             GossipFleet(self.gossip, self.view, self.rollouts, lambda: self._ready),
             exposure_share,
+            era=lambda: self.store.era,
         )
         self.coordinator.start()
 
@@ -571,6 +577,19 @@
         self.metrics.store_call_ended(call.operation, outcome, call.duration_s)
         self._record_store_availability(call)
 
+    def _on_store_era_changed(self, era: int) -> None:
+        """Write again what this node had written and the store has lost."""
+        self.events.record(EventName.STORE_ERA_CHANGED, era=era)
+        self._seeds.forget_lease()
+        self.departures.forget_kept()
+        self.allotments.forget_lease()
+        if self.announcements.departures:
+            self._spawn(self._keep_departures_again())
+
+    async def _keep_departures_again(self) -> None:
+        await asyncio.sleep(self._rng.uniform(0.0, REWRITE_SPREAD_S))
+        await self._persist_departures()
+
     def _record_store_availability(self, call: StoreCallEnded) -> None:
         """Record an event when the store becomes available or unavailable to this node."""
         refused = call.status == HTTPStatus.TOO_MANY_REQUESTS
--- a/jaypost/departures.py
+++ b/jaypost/departures.py
@@ -95,6 +95,11 @@
         self._kept = frozenset(departures)
         return departures
 
+    def forget_kept(self) -> None:
+        """Write the departures again: the store has come back from an older copy."""
+        self._kept = frozenset()
+        self._lease_id = None
+
     async def persist(self, departures: tuple[Departure, ...]) -> bool:
         """Persist departures in the store or at another node; return whether that succeeded.
 
--- a/jaypost/integration.py
+++ b/jaypost/integration.py
@@ -25,9 +25,13 @@
     ----------
     round_trip_s : float or None
         Shortest time in seconds in which a connection was opened; None before the first.
+    era, on_era_changed
+        As in `jaypost.store_connections.StoreConnections`.
     """
 
     round_trip_s: float | None
+    era: int
+    on_era_changed: Callable[[int], None]
 
     async def start(self) -> None:
         """Allow calls; before the start, every call fails."""
--- a/jaypost/logs.py
+++ b/jaypost/logs.py
@@ -52,6 +52,7 @@
     STORE_WENT_BACK = "store_went_back"
     STORE_UNAVAILABLE = "store_unavailable"
     STORE_AVAILABLE = "store_available"
+    STORE_ERA_CHANGED = "store_era_changed"
     STORE_READING_CHANGED = "store_reading_changed"
     ISOLATION_CHANGED = "isolation_changed"
     VERSION_READ = "version_read"
--- a/jaypost/readers.py
+++ b/jaypost/readers.py
@@ -99,6 +99,8 @@
         Tells whether this node is a reader, or becomes one when others fail.
     is_isolated : Callable[[], bool]
         Tells whether this node hears no other node.
+    store_era : Callable[[], int]
+        Returns the era of the store; see `jaypost.store_connections`.
     source : TableSource
         Location and encoding of the newest version.
     rng : random.Random
@@ -132,6 +134,7 @@
         *,
         is_candidate: Callable[[], bool] = lambda: False,
         is_isolated: Callable[[], bool] = lambda: False,
+        store_era: Callable[[], int] = lambda: 0,
         source: TableSource = HEAD_SOURCE,
         rng: random.Random | None = None,
         sleep: Callable[[float], Awaitable[None]] = asyncio.sleep,
@@ -145,6 +148,8 @@
         self._settings = settings
         self._is_candidate = is_candidate
         self._is_isolated = is_isolated
+        self._store_era = store_era
+        self._known_era = 0
         self._source = source
         self._rng = rng or random.Random()
         self._sleep = sleep
@@ -330,6 +335,10 @@
             self._damaged_retry_at = None
             # From revision 0, the watch returns the damaged record again at once.
             self._last_revision = 0
+        if self._store_era() != self._known_era:
+            # A version that is written again may have a lower revision than one that was read.
+            self._known_era = self._store_era()
+            self._last_revision = 0
         found = await self._store.watch(self._source.key, self._last_revision, wait_s)
         if isinstance(found, StoreFailed):
             return ReadFailed(found.reason)
--- a/jaypost/rollouts/coordinator.py
+++ b/jaypost/rollouts/coordinator.py
@@ -11,7 +11,7 @@
 import time
 from collections import Counter, deque
 from collections.abc import Awaitable, Callable, Mapping
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from typing import Protocol
 
 import structlog
@@ -46,6 +46,9 @@
 # Longest wait of a watch of the orders, and pause after a failed call of the store.
 WATCH_WAIT_S = 3.0
 STORE_PAUSE_S = 0.5
+# Time in seconds after the store has come back from an older copy in which its writers write again
+# what it has lost.
+REWRITE_S = 15.0
 # Interval between two decisions; longer when very many hosts are asked, at most this many a second.
 DECISION_INTERVAL_S = 0.4
 MAX_REPORTS_PER_S = 200.0
@@ -92,6 +95,10 @@
         """Let all nodes follow the steps."""
         ...
 
+    def known_step(self, service: str) -> RolloutStep | None:
+        """Return the newest step of a service that this node knows."""
+        ...
+
     def order_age_s(self, step: RolloutStep) -> float:
         """Return the seconds for which this node has known the order of a step; 0 if unknown."""
         ...
@@ -166,6 +173,8 @@
         The other nodes.
     exposure_share : float
         Largest fraction of the requests of a service that a bad version may get.
+    era : callable
+        Returns the era of the store; see `jaypost.store_connections`.
     clock : callable
         Monotonic time in seconds.
     """
@@ -176,6 +185,7 @@
         keys: RolloutKeys,
         fleet: Fleet,
         exposure_share: float,
+        era: Callable[[], int] = lambda: 0,
         clock: Callable[[], float] = time.monotonic,
         sleep: Callable[[float], Awaitable[None]] = asyncio.sleep,
     ) -> None:
@@ -183,11 +193,14 @@
         self._keys = keys
         self._fleet = fleet
         self._exposure_share = exposure_share
+        self._era = era
         self._clock = clock
         self._sleep = sleep
         self._rollout_by_service: dict[str, _Rollout] = {}
         self._step_by_service: dict[str, RolloutStep] = {}
         self._tasks: list[asyncio.Task[None]] = []
+        # Until when an order with known contents counts as one that the store had lost.
+        self._rewrites_until = float("-inf")
 
     def start(self) -> None:
         """Start the tasks that read orders and decide."""
@@ -203,13 +216,16 @@
     # Orders
 
     async def _watch(self) -> None:
-        revision = 0
+        revision = known_era = 0
         while True:
             if not self._fleet.is_decider():
                 revision = 0
                 self._rollout_by_service.clear()
                 await self._sleep(ROLE_CHECK_INTERVAL_S)
                 continue
+            if self._era() != known_era:
+                revision, known_era = 0, self._era()
+                self._rewrites_until = self._clock() + REWRITE_S
             outcome = await self._store.watch_prefix(
                 self._keys.order_prefix, revision, WATCH_WAIT_S
             )
@@ -225,7 +241,7 @@
     async def _apply_orders(self, read: PrefixRead) -> bool:
         """Begin or continue the roll-outs of the orders; tell whether their states were read."""
         for entry in read.entries:
-            order = decode_order(entry)
+            order = decode_order(entry, self._era())
             if order is None:
                 log.warning(EventName.ROLLOUT_ORDER_REFUSED, key=entry.key)
                 continue
@@ -247,6 +263,9 @@
             status = decode_status(order.service, found.value)
         revision = 0 if isinstance(found, Missing) else found.revision
         step = status.step if status is not None else None
+        carried = self._step_of_earlier_era(order, step)
+        if carried is not None:
+            return await self._write_again(order, carried, revision, now)
         known = self._rollout_by_service.get(order.service)
         if known is not None and known.order == order:
             if step != known.step:
@@ -258,11 +277,45 @@
             self._publish(step)
         return True
 
+    def _step_of_earlier_era(
+        self, order: RolloutOrder, written: RolloutStep | None
+    ) -> RolloutStep | None:
+        """Return the step that was taken for an order before the store lost its state.
+
+        The operator writes the order again, at another revision.
+        """
+        if written is not None and _is_of(written, order):
+            return None  # a decider has gone on in this era
+        step = self._fleet.known_step(order.service)
+        if step is None or (written is not None and written.newer_than(step)):
+            step = written
+        if step is None or step.version != order.version or _is_of(step, order):
+            return None
+        if step.era == order.era and self._clock() >= self._rewrites_until:
+            return None  # the operator wants it once more
+        return replace(step, era=order.era, order=order.revision)
+
+    async def _write_again(
+        self, order: RolloutOrder, step: RolloutStep, revision: int, now: float
+    ) -> bool:
+        known = self._rollout_by_service.get(order.service)
+        started_at = known.started_at if known is not None else now
+        value = encode_status(RolloutStatus(step, now - started_at))
+        outcome = await self._store.put(self._keys.status_prefix + order.service, value, revision)
+        if not isinstance(outcome, Stored):
+            return False
+        rollout = _Rollout(order, step, outcome.revision, started_at, now)
+        if known is not None:
+            rollout.comparison = known.comparison
+        self._rollout_by_service[order.service] = rollout
+        self._publish(step)
+        return True
+
     def _begin(
         self, order: RolloutOrder, status: RolloutStatus | None, revision: int, now: float
     ) -> None:
         elapsed_s = 0.0
-        if status is not None and status.step.order == order.revision:
+        if status is not None and _is_of(status.step, order):
             elapsed_s = max(status.elapsed_s, self._fleet.order_age_s(status.step))
         self._rollout_by_service[order.service] = _Rollout(
             order, status.step if status is not None else None, revision, now - elapsed_s, now
@@ -296,7 +349,7 @@
         step = rollout.step
         reports: list[RolloutReport] = []
         asked: list[str] = []
-        if step is not None and step.order == rollout.order.revision:
+        if step is not None and _is_of(step, rollout.order):
             asked = _hosts_to_ask(targets, step)
             answers = await asyncio.gather(
                 *(self._fleet.report_of(node_id, step, REPORT_TIMEOUT_S) for node_id in asked)
@@ -386,11 +439,14 @@
             self._publish(step)
 
 
+def _is_of(step: RolloutStep, order: RolloutOrder) -> bool:
+    """Tell whether a step was taken for an order."""
+    return (step.era, step.order) == (order.era, order.revision)
+
+
 def _is_open(rollout: _Rollout) -> bool:
     step = rollout.step
-    return (
-        step is None or step.order != rollout.order.revision or step.phase is RolloutPhase.RUNNING
-    )
+    return step is None or not _is_of(step, rollout.order) or step.phase is RolloutPhase.RUNNING
 
 
 def _hosts_to_ask(targets: tuple[PlacedTarget, ...], step: RolloutStep) -> list[str]:
--- a/jaypost/rollouts/fleet.py
+++ b/jaypost/rollouts/fleet.py
@@ -51,6 +51,10 @@
         """Put the steps into the own record."""
         self._gossip.publish(rollouts=steps)
 
+    def known_step(self, service: str) -> RolloutStep | None:
+        """Return the newest step of a service that this node knows."""
+        return next((s for s in self._guard.steps() if s.service == service), None)
+
     def order_age_s(self, step: RolloutStep) -> float:
         """Return the seconds for which this node has known the order of a step; 0 if unknown."""
         return self._guard.order_age_s(step, time.monotonic())
--- a/jaypost/rollouts/orders.py
+++ b/jaypost/rollouts/orders.py
@@ -41,6 +41,7 @@
     share: float = 0.0
     order: int = 0
     number: int = 0
+    era: int = 0
     elapsed_s: float = 0.0
 
 
@@ -86,12 +87,13 @@
             step.share,
             step.order,
             step.number,
+            step.era,
             round(status.elapsed_s, 3),
         )
     )
 
 
-def decode_status(service: str, value: bytes, era: int = 0) -> RolloutStatus | None:
+def decode_status(service: str, value: bytes) -> RolloutStatus | None:
     """Return the step of a service in the store, or None if the value is not a valid one."""
     try:
         body = _status_decoder.decode(value)
@@ -105,6 +107,6 @@
         body.share,
         body.order,
         body.number,
-        era,
+        body.era,
     )
     return RolloutStatus(step, body.elapsed_s)
--- a/jaypost/seeds.py
+++ b/jaypost/seeds.py
@@ -137,6 +137,10 @@
         self._lease_id = granted.lease_id
         return True
 
+    def forget_lease(self) -> None:
+        """Register again the next time: the store has come back from an older copy."""
+        self._lease_id = None
+
     async def unregister(self) -> None:
         """Delete the own seed, if this node has registered it."""
         if self._lease_id is not None:
--- a/jaypost/store_connections.py
+++ b/jaypost/store_connections.py
@@ -20,9 +20,12 @@
 # A listing of 7,000 small values fits; a larger body is treated as an error of the store.
 MAX_BODY_BYTES = 32 << 20
 READ_BYTES = 64 << 10
+MAX_ERA_DIGITS = 18
 # Longest time in which a response may arrive after its first bytes, as a multiple of the timeout.
 MAX_TRANSFER_TIMEOUTS = 10
 REVISION_HEADER = b"x-revision"
+# Number of times that the store came back from an older copy of its contents.
+ERA_HEADER = b"x-store-era"
 
 
 @dataclass(frozen=True, slots=True)
@@ -125,6 +128,11 @@
 
     Attributes
     ----------
+    era : int
+        Number of times that the store came back from an older copy, from its responses; 0 before
+        the first. Revisions and leases of an earlier era mean nothing in a later one.
+    on_era_changed : Callable[[int], None]
+        Called with each new era, except for the first that is known.
     sent_bytes, received_bytes : int
         Total bytes written to and read from the connections.
     round_trip_s : float or None
@@ -144,10 +152,30 @@
         self._busy: set[_Connection] = set()
         self._running = False
         self._connection_slots = asyncio.Semaphore(MAX_CONNECTIONS)
+        self.era = 0
+        self.on_era_changed: Callable[[int], None] = lambda era: None
+        self._knows_era = False
         self.sent_bytes = 0
         self.received_bytes = 0
         self.round_trip_s: float | None = None
 
+    era_header = ERA_HEADER
+
+    def _note_era(self, response: h11.Response) -> None:
+        value = dict(response.headers).get(self.era_header)
+        if value is None or not value.isdigit() or len(value) > MAX_ERA_DIGITS:
+            return
+        era, known = int(value), self._knows_era
+        if known and era <= self.era:
+            return  # a response of an earlier era that arrives late changes nothing
+        self.era, self._knows_era = era, True
+        if known:
+            self._era_changed()
+            self.on_era_changed(era)
+
+    def _era_changed(self) -> None:
+        """Forget what depends on revisions of the earlier era."""
+
     async def start(self) -> None:
         """Allow calls; connections are opened on demand."""
         self._running = True
@@ -272,6 +300,7 @@
                 connection.protocol.receive_data(data)
             elif isinstance(event, h11.Response):
                 head = event
+                self._note_era(head)
             elif isinstance(event, h11.Data):
                 body += event.data
                 if len(body) > MAX_BODY_BYTES:
--- a/jaypost/view.py
+++ b/jaypost/view.py
@@ -335,7 +335,7 @@
 
     def divider(self) -> NodeRecord | None:
         """Return the record of the node that divides allotments, None if there is none."""
-        records = [self._entry_by_id[i].record for i in self._divider_ids]
+        records = [self._entry_by_id[i].record for i in self._divider_ids if self.is_reachable(i)]
         return max(records, key=lambda record: record.divider_term, default=None)
 
     def merge_rollout_steps(self, steps: Iterable[RolloutStep]) -> None:
--- a/standins/platform_store.py
+++ b/standins/platform_store.py
@@ -15,7 +15,7 @@
 
 from jaypost.records import Address
 from jaypost.store import Conflict, Found, LeaseExpired, LeaseHeld
-from standins.store import Handler, Reply, Request, StoreServer
+from standins.store import Handler, Reply, Request, StoreCore, StoreServer
 
 PAGE_ITEMS = 500
 LEASE_PREFIX = "lease-"
@@ -43,6 +43,13 @@
         self.forced_status = 0
         self.page_items = PAGE_ITEMS
 
+    era_header = "Store-Era"
+
+    async def restore(self, copied: StoreCore) -> None:
+        """Come back from an older copy, with a history that ends there."""
+        self.history = [item for item in self.history if item["revision"] <= copied.revision]
+        await super().restore(copied)
+
     def discard_history(self) -> None:
         """Discard all change events so far, so that older watches get status 410."""
         self.history.clear()
@@ -91,7 +98,7 @@
     async def _get_changes(self, request: Request, _: str) -> Reply:
         prefix = request.parameters["path_prefix"]
         after = int(request.parameters["after"])
-        if after < self.discarded_revision:
+        if not self.discarded_revision <= after <= self.core.revision:
             return Reply(410)
         wait_s = int(request.parameters["wait_ms"]) / 1000
         try:
--- a/standins/store.py
+++ b/standins/store.py
@@ -128,6 +128,17 @@
             self.delete(key, None)
         return LeaseHeld()
 
+    def copy(self) -> StoreCore:
+        """Return a copy of the contents, as a backup has it: without leases and their keys."""
+        copied = StoreCore()
+        copied.revision = self.revision
+        copied._entry_by_key = {
+            key: _Entry(entry.value, entry.revision, None)
+            for key, entry in self._entry_by_key.items()
+            if entry.lease_id is None
+        }
+        return copied
+
     def expire(self, now: float) -> None:
         """End the leases that were not renewed in time, and delete their keys."""
         expired_ids = [
@@ -257,6 +268,7 @@
 
     def __init__(self, listen: Address) -> None:
         self.core = StoreCore()
+        self.era = 1
         self.faults = Faults()
         self.calls_by_kind: Counter[str] = Counter()
         self.sent_bytes = 0
@@ -268,6 +280,14 @@
         self._expiry_task: asyncio.Task[None] | None = None
         self._changed = asyncio.Condition()
 
+    era_header = "x-store-era"
+
+    async def restore(self, copied: StoreCore) -> None:
+        """Come back from an older copy; `copied` is from `StoreCore.copy`."""
+        self.core = copied.copy()
+        self.era += 1
+        await self._notify()
+
     @property
     def address(self) -> Address:
         """Address that the server listens on."""
@@ -365,7 +385,7 @@
     async def _write_reply(
         self, protocol: h11.Connection, writer: asyncio.StreamWriter, reply: Reply
     ) -> None:
-        headers = []
+        headers = [(self.era_header, str(self.era))]
         if reply.status != 204:
             headers.append(("content-length", str(len(reply.body))))
         if reply.revision is not None:
--- a/tests/rollouts/test_coordinator.py
+++ b/tests/rollouts/test_coordinator.py
@@ -54,6 +54,7 @@
     revision: int = 0
     is_away: bool = False
     loses_responses: bool = False
+    era: int = 1
 
     async def get(self, key: str) -> Found | Missing | StoreFailed:
         if self.is_away:
@@ -114,6 +115,9 @@
                 self.step = step
                 self.published.append(step)
 
+    def known_step(self, service: str) -> RolloutStep | None:
+        return self.step
+
     def order_age_s(self, step: RolloutStep) -> float:
         return time.monotonic() - self.known_at
 
@@ -145,7 +149,9 @@
 
 @asynccontextmanager
 async def decider(store: MemoryStore, fleet: MemoryFleet) -> AsyncIterator[RolloutCoordinator]:
-    coordinator = RolloutCoordinator(store, KEYS, fleet, 0.1, clock=time.monotonic)
+    coordinator = RolloutCoordinator(
+        store, KEYS, fleet, 0.1, era=lambda: store.era, clock=time.monotonic
+    )
     coordinator.start()
     try:
         yield coordinator
@@ -159,7 +165,8 @@
 
 
 def written(store: MemoryStore) -> RolloutStep:
-    status = decode_status("shop", store.entries[KEYS.status_prefix + "shop"].value)
+    value = store.entries[KEYS.status_prefix + "shop"].value
+    status = decode_status("shop", value)
     assert status is not None
     return status.step
 
@@ -280,3 +287,44 @@
     async with decider(store, fleet):
         await asyncio.sleep(DURATION_S)
         assert written(store).phase is not RolloutPhase.RUNNING
+
+
+@pytest.mark.parametrize("restored_at_s", [2.0, 8.3, 13.0])
+@pytest.mark.parametrize("age_s", [0.0, 1.0, 4.0, 10.0])
+@pytest.mark.parametrize("fail_rate", [0.0, 0.5])
+async def test_store_comes_back_from_an_older_copy(
+    restored_at_s: float, age_s: float, fail_rate: float
+) -> None:
+    """Guards against a bad version that gets requests again, and a roll-out that starts anew.
+
+    The copy may be older than the order, than its first step, or than its end.
+    """
+    store, fleet = MemoryStore(), MemoryFleet(fail_rate)
+    copies: list[tuple[float, dict[str, StoreEntry], int]] = [(0.0, {}, 0)]
+    async with decider(store, fleet):
+        await asyncio.sleep(1.0)
+        await order(store)
+        while now() < restored_at_s:
+            copies.append((now(), dict(store.entries), store.revision))
+            await asyncio.sleep(0.1)
+        _, store.entries, store.revision = max(
+            (copy for copy in copies if copy[0] <= max(0.0, restored_at_s - age_s)),
+            key=lambda copy: copy[0],
+        )
+        store.era += 1
+        before = fleet.step
+        await asyncio.sleep(0.3)
+        store.entries = dict(store.entries)
+        await order(store)
+        await asyncio.sleep(1.0 + DURATION_S)
+        assert before is not None and fleet.step is not None
+        assert written(store) == fleet.step
+        assert fleet.step.era == 2
+        expected = RolloutPhase.ROLLED_BACK if fail_rate else RolloutPhase.SUCCEEDED
+        assert fleet.step.phase is expected
+        shares = [step.share for step in fleet.published if step.era == 2]
+        assert fail_rate or min(shares) >= before.share
+
+
+def now() -> float:
+    return asyncio.get_running_loop().time()
