Decide by estimated waits when a request leaves its failure domain

The operators' wish: traffic between failure domains costs money, yet the targets of a domain are sometimes too few. Until now a request left as soon as no target of its domain had a free slot, at no cost.

Change: with crossing_ms, in the settings or in a row, a request waits at the best target of its domain while leaving would save less than the round trip and that price, larger ones in proportion to their bytes; from there a share leaves that rises with the time saved.

--- a/jaypost/formats.py
+++ b/jaypost/formats.py
@@ -22,7 +22,9 @@
     "destinations": ("service", "weight"),
     "tenant_shares": ("tenant", "share"),
 }
-FLOAT_COLUMNS = frozenset({"rate_limit", "retry_budget", "short_reserve", "rate_burst"})
+FLOAT_COLUMNS = frozenset(
+    {"rate_limit", "retry_budget", "short_reserve", "rate_burst", "crossing_ms"}
+)
 TEXT_COLUMNS = frozenset({"host", "path_prefix", "spill", "workspace"})
 FLAG_COLUMNS = frozenset({"without_key"})
 
--- a/jaypost/ingress.py
+++ b/jaypost/ingress.py
@@ -118,6 +118,9 @@
     ErrorKind.CONNECT_FAILED: (0.05, 0.3),
     ErrorKind.CONNECTION_LIMIT: (0.05, 0.3),
 }
+# Rows whose mean response size an ingress keeps, and the weight of one response in it.
+MAX_SIZED_ROWS = 4096
+RESPONSE_SIZE_GAIN = 0.1
 # Targets whose rates an ingress remembers.
 MAX_NAMED_RATES = 1024
 REQUEST_ID_PATTERN = re.compile(rb"[!-~]{1,128}")
@@ -680,6 +683,8 @@
                 self._undelivered_attempts >= undelivered_attempt_limit(row),
                 now,
                 self._call_class is CallClass.LONG,
+                (row.crossing_ms or self._ingress.settings.crossing_ms) / 1000,
+                self._body_bytes + self._ingress.response_bytes_by_row.get(row.service, 0.0),
             )
         )
 
@@ -892,11 +897,11 @@
         """Buffer or forward a part of the response body."""
         if attempt is not self._chosen_attempt:
             return
+        self._response_bytes += len(data)
         if self._response_status:
             self._responder.send_body(data)
             return
         self._response_chunks.append(data)
-        self._response_bytes += len(data)
         if self._response_bytes > MAX_BUFFERED_RESPONSE_BYTES:
             self._forward_response()
 
@@ -908,6 +913,7 @@
                 self._forward_response()
             self._responder.send_end()
             self._responder.flush()
+            self._ingress.note_response_size(self._service, self._response_bytes)
             self._end(None, self._response_status, RunState.RAN)
 
     def _set_content_length(self) -> None:
@@ -1188,6 +1194,8 @@
         max_connections = connection_limits(settings.max_files)
         self.pool = ConnectionPool(settings, probe=True, max_connections=max_connections.to_peers)
         self.in_flight = InFlight()
+        # Mean size in bytes of the responses of each row.
+        self.response_bytes_by_row: dict[str, float] = {}
         # Owner of the shares of the workspaces; None where limits of workspaces do not count.
         self.allotments: Allotments | None = None
         self.refuses_calls = False
@@ -1241,6 +1249,15 @@
         """Requests of callers whose connection the node closed before it answered them."""
         return self._server.cut_by_reason
 
+    def note_response_size(self, row: str, size: int) -> None:
+        """Update the mean size in bytes of the responses of a row."""
+        mean = self.response_bytes_by_row.get(row)
+        if mean is None and len(self.response_bytes_by_row) >= MAX_SIZED_ROWS:
+            return
+        self.response_bytes_by_row[row] = (
+            size if mean is None else mean + RESPONSE_SIZE_GAIN * (size - mean)
+        )
+
     def note_rate(self, target_id: str, rate: bytes | None) -> None:
         """Note the rate that a target names in a response, None if it names none."""
         if rate is None:
--- a/jaypost/placement.py
+++ b/jaypost/placement.py
@@ -7,6 +7,7 @@
 from collections.abc import Mapping
 from dataclasses import dataclass, field
 
+from jaypost.crossings import Crossing, leaving_share
 from jaypost.errors import ErrorKind
 from jaypost.health import SHED_STATUS, Observation, TargetHealth
 from jaypost.records import Destination, Load, PlacedTarget, Spill, Target, TargetState
@@ -91,6 +92,11 @@
     is_long_work : bool
         Whether the request is long work. Some slots are reserved for short work, so a target may
         be full for long work only.
+    crossing_price_s : float
+        Time in seconds that the request may wait rather than leave the failure domain; 0 when it
+        leaves as soon as no target there is free.
+    crossing_bytes : float
+        Bytes of the request and of its expected response.
     """
 
     service: str
@@ -100,6 +106,8 @@
     must_be_delivered: bool
     now: float
     is_long_work: bool = False
+    crossing_price_s: float = 0.0
+    crossing_bytes: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -308,6 +316,9 @@
         if self._queues_are_full(state, tiers, query):
             return NoTarget(ErrorKind.QUEUE_FULL)
         if not query.must_be_delivered:
+            waits_at = self._target_to_wait_at(state, tiers, query)
+            if waits_at is not None:
+                return Chosen(waits_at, may_queue=True)
             target = self._free_target(state, tiers, query)
             if target is not None:
                 return Chosen(target, may_queue=False)
@@ -509,6 +520,37 @@
                 return self._better_of_two(state, free, query.now)
         return None
 
+    def _target_to_wait_at(
+        self,
+        state: _ServiceState,
+        tiers: tuple[tuple[PlacedTarget, ...], ...],
+        query: ChooseTarget,
+    ) -> PlacedTarget | None:
+        """Return the target of the own domain to wait at, None if one is free or leaving pays."""
+        if not query.crossing_price_s or query.tried or not all(tiers[:REMOTE_TIER]):
+            return None
+        if len(tiers) < REMOTE_TIER:
+            return None
+        own_domain, others = tiers[0], tiers[1]
+        if any(self._is_free(item, query) for item in own_domain):
+            return None
+        waits_here = [self._slot_wait_s(state, item, query.now) for item in own_domain]
+        wait_here_s = min(waits_here)
+        is_free_there = any(self._is_free(item, query) for item in others)
+        wait_there_s = 0.0
+        if not is_free_there:
+            wait_there_s = min(self._slot_wait_s(state, item, query.now) for item in others)
+        crossing = Crossing(wait_here_s, wait_there_s, query.crossing_price_s, query.crossing_bytes)
+        if self._rng.random() < leaving_share(crossing):
+            return None
+        return own_domain[waits_here.index(wait_here_s)]
+
+    def _slot_wait_s(self, state: _ServiceState, placed: PlacedTarget, now: float) -> float:
+        """Return the estimated time in seconds until a slot of a target is free for a request."""
+        slots = placed.target.slots or 1
+        ahead = self._utilisation(state, placed, now) * slots + 1 - slots
+        return max(0.0, ahead) / slots * (state.latency_s or ASSUMED_LATENCY_S)
+
     def _is_free(self, placed: PlacedTarget, query: ChooseTarget) -> bool:
         target_id = placed.target.target_id
         if target_id in query.tried:
--- a/jaypost/records.py
+++ b/jaypost/records.py
@@ -106,6 +106,9 @@
         Requests beyond `rate_limit` that may come at once; 0 means those of 0.1 s.
     without_key : bool
         Whether requests without a known key are served as well, in a table with workspaces.
+    crossing_ms : float
+        Time in milliseconds that a request waits rather than leave its failure domain; 0 means that
+        of the settings.
     workspace : str
         Name of the workspace that the row describes; empty for services and routes.
     key_digests : tuple of str
@@ -133,6 +136,7 @@
     target_latency_ms: int = 0
     rate_burst: float = 0.0
     without_key: bool = False
+    crossing_ms: float = 0.0
     workspace: str = ""
     key_digests: tuple[str, ...] = ()
 
--- a/jaypost/settings.py
+++ b/jaypost/settings.py
@@ -81,6 +81,7 @@
     drain_bound_ms: int
     grace_s: float
     retry_ratio: float
+    crossing_ms: float
     exposure_share: float
     allotment_tolerance: float
     allotment_window_s: float
@@ -354,6 +355,12 @@
         _number_parser(float, 0, 1),
         "retries that the targets of a service accept, as a fraction of its calls",
     ),
+    "crossing_ms": Setting(
+        "0",
+        _number_parser(float, 0, 3_600_000),
+        "time that a request waits for a target of its failure domain rather than leave it, in "
+        "milliseconds; 0: it leaves as soon as none is free",
+    ),
     "exposure_share": Setting(
         "0",
         _number_parser(float, 0, 1),
--- a/jaypost/table.py
+++ b/jaypost/table.py
@@ -43,10 +43,11 @@
     "short_reserve": (0, 1),
     "target_latency_ms": (0, 3_600_000),
     "rate_burst": (0, 10_000_000),
+    "crossing_ms": (0, 3_600_000),
 }
 DESTINATION_WEIGHT_RANGE = (0, 1000)
 TENANT_SHARE_RANGE = (1, 1000)
-FLOAT_COLUMNS = ("rate_limit", "retry_budget", "short_reserve", "rate_burst")
+FLOAT_COLUMNS = ("rate_limit", "retry_budget", "short_reserve", "rate_burst", "crossing_ms")
 HIGHEST_PRIORITY_NUMBER = 1000
 KEY_DIGEST_PATTERN = re.compile(r"[0-9a-f]{32}")
 
