Let hosts ask for tokens until the divider has too few

Change: a host refuses at once only after the divider had too few tokens; a waiting request waits for its own answer; whole tokens; half of the rate is leased and half kept; half of the room is divided evenly.

--- a/jaypost/allotments/buckets.py
+++ b/jaypost/allotments/buckets.py
@@ -19,10 +19,8 @@
 FAST_DEMAND_WEIGHT = 0.5
 # A workspace without requests for this long gives its share back.
 IDLE_S = 10.0
-# Time in seconds after a grant for which a host does not ask for more tokens, and the same when the
-# divider could not give what was asked.
-ASK_PAUSE_S = 0.25
-PRESSED_ASK_PAUSE_S = 1.0
+# Time in seconds for which a host does not ask for more tokens after the divider had too few.
+DENIED_PAUSE_S = 0.5
 # Shortest and longest time in seconds after which a refused caller is asked to come back.
 MIN_RETRY_AFTER_S = 0.1
 MAX_RETRY_AFTER_S = 5.0
@@ -53,9 +51,10 @@
     """Share of one workspace on this host.
 
     `tokens` are those of the share, up to its room; `granted_tokens` came with the last grant, for
-    requests that waited. `waiting` is the number of requests that wait for the next grant,
-    `is_pressed` tells whether the last one was less than was asked for, and `returns_at` is the
-    time for which the last refused caller was asked to come back.
+    requests that waited. `waiting` is the number of requests that wait for the next grant, `asked`
+    the same when the divider was asked,
+    `denied_at` the time of the last one with too few tokens for them, and `returns_at` the time for
+    which the last refused caller was asked to come back.
     """
 
     workspace: Workspace
@@ -64,7 +63,7 @@
     room: float = 1.0
     granted_limit: float = 0.0
     expires_at: float = float("-inf")
-    granted_at: float = float("-inf")
+    denied_at: float = float("-inf")
     tokens: float = 0.0
     granted_tokens: float = 0.0
     slow_demand: float = 0.0
@@ -72,7 +71,7 @@
     demand_at: float = 0.0
     last_request_at: float = float("-inf")
     waiting: int = 0
-    is_pressed: bool = False
+    asked: int = 0
     returns_at: float = float("-inf")
 
 
@@ -113,11 +112,16 @@
         if bucket.tokens >= 1.0:
             bucket.tokens -= 1.0
             return Taken()
-        pause_s = PRESSED_ASK_PAUSE_S if bucket.is_pressed else ASK_PAUSE_S
-        if may_wait and now - bucket.granted_at >= pause_s:
+        if may_wait and now - bucket.denied_at >= DENIED_PAUSE_S:
             return Short()
         return OverAllotment(self._retry_after_s(bucket, now))
 
+    def is_answered(self, workspace: Workspace, since: float, now: float) -> bool:
+        """Tell whether there is a token now, or none was granted since a time."""
+        bucket = self._bucket(workspace, now)
+        self._refill(bucket, now)
+        return max(bucket.granted_tokens, bucket.tokens) >= 1.0 or bucket.denied_at >= since
+
     def give_back(self, workspace: Workspace, now: float) -> None:
         """Return the token of a request that was refused later for another reason."""
         bucket = self._bucket_by_workspace.get(workspace.name)
@@ -140,6 +144,8 @@
         for name, bucket in list(self._bucket_by_workspace.items()):
             if now - bucket.last_request_at > IDLE_S and not bucket.waiting:
                 del self._bucket_by_workspace[name]
+        for bucket in self._bucket_by_workspace.values():
+            bucket.asked = bucket.waiting
         return tuple(
             Demand(
                 name,
@@ -161,8 +167,8 @@
             bucket.rate, bucket.granted_limit = grant.rate, grant.limit
             bucket.room = grant.room
             bucket.expires_at = asked_at + LEASE_S
-            bucket.granted_at = now
-            bucket.is_pressed = grant.rate < self._demand_of(bucket, now)
+            if grant.tokens + bucket.tokens < bucket.asked:
+                bucket.denied_at = now
             bucket.tokens = min(bucket.tokens, bucket.room)
             bucket.granted_tokens = grant.tokens
 
--- a/jaypost/allotments/holder.py
+++ b/jaypost/allotments/holder.py
@@ -105,13 +105,16 @@
         return self._buckets.rates(self._clock())
 
     async def acquire(self, workspace: Workspace) -> TakeOutcome:
-        """Ask the divider and wait for its grant, then take a token if there is one."""
+        """Ask the divider and wait until it gives a token, or has too few."""
+        began_at = self._clock()
         self._buckets.wait_began(workspace)
         self._wanted.set()
         try:
             with contextlib.suppress(TimeoutError):
                 async with asyncio.timeout(LONGEST_WAIT_S):
-                    await self._granted.wait()
+                    while not self._buckets.is_answered(workspace, began_at, self._clock()):
+                        # A grant may answer a request that was sent before this one waited.
+                        await self._granted.wait()
         finally:
             self._buckets.wait_ended(workspace)
         return self._buckets.take(workspace, self._clock(), may_wait=False)
--- a/jaypost/allotments/shares.py
+++ b/jaypost/allotments/shares.py
@@ -19,10 +19,11 @@
 # is away for some seconds.
 LEASE_S = 6.0
 # Parts of the rate and of the room that are leased. The rest stays with the divider, for hosts
-# whose share is too small at a moment, and for hosts that are new.
-LEASED_RATE_FRACTION = 0.85
-LEASED_ROOM_FRACTION = 0.7
-KEPT_ROOM_FRACTION = 0.2
+# whose share is too small at a moment, and for hosts that are new. Where requests are rare, about
+# half of them find no token on their host.
+LEASED_RATE_FRACTION = 0.5
+LEASED_ROOM_FRACTION = 0.5
+KEPT_ROOM_FRACTION = 0.4
 # Demand in requests per second that is added for each host, so that one whose requests are rare has
 # a share as well.
 MIN_DEMAND = 0.05
@@ -222,7 +223,9 @@
         total = sum(lease.demand + MIN_DEMAND for lease in leases.values())
         weight = (demand.rate + MIN_DEMAND) / (total + demand.rate + MIN_DEMAND)
         rate = _share(weight, rate_to_lease, others_rate)
-        room = _share(weight, room_to_lease, others_room)
+        # Half of the room is divided evenly: a host with rare requests needs room for one as well.
+        room_weight = (weight + 1.0 / (len(leases) + 1)) / 2
+        room = _share(room_weight, room_to_lease, others_room)
         leases[host] = _Lease(
             max(rate, demand.held_rate), max(room, demand.held_room), demand.rate, now + LEASE_S
         )
@@ -235,7 +238,7 @@
             room=others_room + room,
         )
         self._refill(book, limit, recovering, now)
-        tokens = min(book.tokens, float(demand.short))
+        tokens = float(int(min(book.tokens, demand.short)))
         book.tokens -= tokens
         if is_new and not recovering:
             tokens = max(tokens, min(FIRST_TOKENS, room))
