Lease nothing to hosts whose room is below one request

They now ask for each request, and the rate stays with the divider.

tests/allotments: 60 hosts with rare requests failed before.

--- a/jaypost/allotments/shares.py
+++ b/jaypost/allotments/shares.py
@@ -226,6 +226,8 @@
         # Half of the room is divided evenly: a host with rare requests needs room for one as well.
         room_weight = (weight + 1.0 / (len(leases) + 1)) / 2
         room = _share(room_weight, room_to_lease, others_room)
+        if room < 1.0:
+            rate = room = 0.0  # no token would ever be whole: the host asks for each request
         leases[host] = _Lease(
             max(rate, demand.held_rate), max(room, demand.held_room), demand.rate, now + LEASE_S
         )
--- a/tests/allotments/test_shares.py
+++ b/tests/allotments/test_shares.py
@@ -12,6 +12,7 @@
 
 from jaypost.allotments.buckets import OverAllotment, ShareBuckets, Short, Taken
 from jaypost.allotments.shares import (
+    KEPT_ROOM_FRACTION,
     LEASE_S,
     LEASED_RATE_FRACTION,
     LEASED_ROOM_FRACTION,
@@ -65,6 +66,18 @@
         assert granted[host].room == pytest.approx(room, abs=0.05)
 
 
+def test_many_hosts_with_rare_requests_lease_nothing() -> None:
+    """Load: more hosts than room. Guards against leased rates that nobody can use."""
+    ledger = ShareLedger((), 0.0)
+    hosts = [f"host-{number}" for number in range(60)]
+    for now in (0.0, 1.0, 2.0):
+        grants = [ask(ledger, host, now, 0.5) for host in hosts]
+    assert all(grant.rate == 0.0 for grant in grants)
+    # All of the rate is left for the requests that wait.
+    served = sum(ask(ledger, host, 12.0, 0.5, short=1).tokens for host in hosts)
+    assert served == int(KEPT_ROOM_FRACTION * ROOM)
+
+
 def test_waiting_requests_get_the_tokens_that_are_not_leased() -> None:
     """Load: rare requests on many hosts, whose shares are too small at a moment."""
     ledger = ShareLedger((), 0.0)
