Ask for the next body before the present one has arrived

Cause: one body at a time, so that the link idled for a round trip of 60 ms after each body of 75 ms from another region, and a refusal after 0.12 s of queue that cost a round trip and a connection each.

Change: the next body is asked for when 40 ms or less of the present one are left, by the bytes that have arrived; another host is tried after 0.3 s.

--- a/jaypost/egress.py
+++ b/jaypost/egress.py
@@ -398,6 +398,11 @@
         if self._done:
             return
         self._body_bytes += len(data)
+        if self._body_ticket:
+            egress = self._egress
+            egress.apply_body_decisions(
+                egress.body_grants.arrived(self._body_ticket, len(data), egress.clock())
+            )
         if not self._streaming or self._exchange is None or not self._exchange.reached:
             self._body_chunks.append(data)
         else:
--- a/jaypost/links/grants.py
+++ b/jaypost/links/grants.py
@@ -18,11 +18,12 @@
 BODY_SHARE = 0.85
 # A body that takes less than this time in seconds on the link is sent with its request.
 MIN_TRANSFER_S = 0.01
-# Bodies on their way fill the link for this time in seconds, so that it does not idle for a round
-# trip within a region; at least one is always on its way.
-WINDOW_S = 0.03
+# The next body is asked for when the rest of those on their way takes at most this time in seconds,
+# so that the link does not idle for a whole round trip between regions.
+LEAD_S = 0.04
 # A request that may go to another host is refused when the bodies before it take longer than this.
-MAX_WAIT_S = 0.12
+# Trying another one costs up to a round trip between regions and a connection.
+MAX_WAIT_S = 0.3
 # Time in seconds that a body needs beside its transfer: a round trip between regions. A sender that
 # takes longer does not hold up the others.
 ROUND_TRIP_S = 0.1
@@ -91,11 +92,11 @@
 BodyDecision = BodyGranted | BodyRefused | BodyWaits
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(slots=True)
 class _OnTheWay:
-    """A body that was asked for; it does not count any more from `forgotten_at` on."""
+    """The rest of a body that was asked for; it counts until `forgotten_at` at the latest."""
 
-    transfer_s: float
+    rest_s: float
     forgotten_at: float
 
 
@@ -136,12 +137,20 @@
         arrives_at = request.now + ahead_s + self._transfer_s(request)
         if arrives_at > request.latest_start or (ahead_s > MAX_WAIT_S and not request.may_wait):
             return BodyRefused(request.ticket)
-        if self._waiting or not self._has_room(request):
+        if self._waiting or not self._has_room():
             self._waiting[request.ticket] = request
             return BodyWaits(request.ticket)
         self._grant(request, request.now)
         return BodyGranted(request.ticket)
 
+    def arrived(self, ticket: str, size: int, now: float) -> tuple[BodyDecision, ...]:
+        """Note that `size` bytes of a body have arrived."""
+        item = self._on_the_way.get(ticket)
+        if item is None:
+            return ()
+        item.rest_s = max(0.0, item.rest_s - transfer_s(size, self.link_mbps * BODY_SHARE))
+        return self.tick(now)
+
     def ended(self, ticket: str, now: float) -> tuple[BodyDecision, ...]:
         """Note that a body has arrived, or that its request has ended."""
         self._on_the_way.pop(ticket, None)
@@ -158,15 +167,14 @@
             if now + self._transfer_s(request) > request.latest_start:
                 del self._waiting[request.ticket]
                 decisions.append(BodyRefused(request.ticket))
-            elif self._has_room(request):
+            elif self._has_room():
                 del self._waiting[request.ticket]
                 self._grant(request, now)
                 decisions.append(BodyGranted(request.ticket))
         return tuple(decisions)
 
-    def _has_room(self, request: BodyRequest) -> bool:
-        on_the_way_s = self._on_the_way_s()
-        return not on_the_way_s or on_the_way_s + self._transfer_s(request) <= WINDOW_S
+    def _has_room(self) -> bool:
+        return self._on_the_way_s() <= LEAD_S
 
     def _grant(self, request: BodyRequest, now: float) -> None:
         transfer_s = self._transfer_s(request)
@@ -177,7 +185,7 @@
         return transfer_s(request.body_bytes, self.link_mbps * BODY_SHARE)
 
     def _on_the_way_s(self) -> float:
-        return sum(item.transfer_s for item in self._on_the_way.values())
+        return sum(item.rest_s for item in self._on_the_way.values())
 
     def _forget_slow(self, now: float) -> None:
         for ticket in [i for i, item in self._on_the_way.items() if item.forgotten_at <= now]:
