Explain where a request would go, without sending it

jaypost explain-request HOST PATH shows route, workspace with its limit and the share of the host, share of a new version, the target of the first attempt and the next, and each obstacle, or the refusal. The ingress' own functions decide, on a preview without effect. Keys are not asked for.

--- a/jaypost/admin.py
+++ b/jaypost/admin.py
@@ -26,6 +26,7 @@
 from jaypost.logs import EventName
 from jaypost.metrics import CONTENT_TYPE, Metrics
 from jaypost.records import Address, TargetState
+from jaypost.request_explanations import RequestQuery
 from jaypost.settings import Settings
 
 log = structlog.get_logger(__name__)
@@ -87,6 +88,9 @@
     def explain(self, service: str) -> Any | None:
         """Return how this node routes requests for `service`; None if no row exists for it."""
 
+    def explain_request(self, query: RequestQuery) -> Any:
+        """Return what this node would do with a request now."""
+
     def drain(self) -> None:
         """Start to drain all targets of the host and make the node leave the fleet."""
 
@@ -197,6 +201,7 @@
             ("status", 1): {"GET": self._get_status},
             ("fleet", 1): {"GET": self._get_fleet},
             ("explain", 2): {"GET": self._get_explanation},
+            ("explain-request", 1): {"GET": self._get_request_explanation},
             ("events", 1): {"GET": self._get_events},
             ("drain", 1): {"POST": self._post_drain},
         }
@@ -317,6 +322,18 @@
             return error_reply(ErrorKind.UNKNOWN_SERVICE)
         return json_reply(explanation)
 
+    async def _get_request_explanation(self, request: Request) -> Reply:
+        given = {name: request.query.get(name, "") for name in ("host", "path")}
+        if not given["host"] or not given["path"].startswith("/"):
+            return error_reply(ErrorKind.BAD_REQUEST, "host and path are required")
+        query = RequestQuery(
+            given["host"],
+            given["path"],
+            request.query.get("method", "GET"),
+            request.query.get("workspace", ""),
+        )
+        return json_reply(self._node.explain_request(query))
+
     async def _get_events(self, request: Request) -> Reply:
         text = request.query.get("limit", str(DEFAULT_EVENT_LIMIT))
         if not text.isdecimal() or not 1 <= int(text) <= MAX_EVENT_LIMIT:
--- a/jaypost/cli.py
+++ b/jaypost/cli.py
@@ -129,6 +129,7 @@
     _add_table_actions(subparsers.add_parser("table", help="read and change the service table"))
     _add_status(subparsers)
     _add_explain(subparsers)
+    _add_explain_request(subparsers)
     _add_events(subparsers)
     _add_watch(subparsers)
     _add_rollout_actions(
@@ -158,6 +159,22 @@
     _add_node_flags(parser)
 
 
+def _add_explain_request(
+    subparsers: argparse._SubParsersAction[argparse.ArgumentParser],
+) -> None:
+    parser = _add_command(
+        subparsers,
+        "explain-request",
+        queries.explain_request,
+        "show where a request would go now, without sending it",
+    )
+    parser.add_argument("host", metavar="HOST", help="value of the Host header")
+    parser.add_argument("path", metavar="PATH")
+    parser.add_argument("--method", default="GET")
+    parser.add_argument("--workspace", help="name of the workspace of the request")
+    _add_node_flags(parser)
+
+
 def _add_events(subparsers: argparse._SubParsersAction[argparse.ArgumentParser]) -> None:
     parser = _add_command(
         subparsers, "events", queries.events, "show the decisions that a node made on its own"
--- a/jaypost/daemon.py
+++ b/jaypost/daemon.py
@@ -61,6 +61,12 @@
     TargetState,
 )
 from jaypost.reloading import SettingsReloader
+from jaypost.request_explanations import (
+    DecisionSources,
+    RequestExplanation,
+    RequestQuery,
+    explain_request,
+)
 from jaypost.retries import RetryPolicy
 from jaypost.rollouts.coordinator import RolloutCoordinator
 from jaypost.rollouts.fleet import GossipFleet
@@ -676,6 +682,21 @@
             self.placement.reported_load,
         )
 
+    def explain_request(self, query: RequestQuery) -> RequestExplanation:
+        """Return what this node would do with a request now; nothing is sent."""
+        now = time.monotonic()
+        sources = DecisionSources(
+            self.holder.snapshot,
+            NodeIdentity(self.settings.node_id, self.settings.failure_domain, self.settings.region),
+            self.placement.preview,
+            lambda target_id: self.health.weight(target_id, now),
+            self.placement.reported_load,
+            self.allotments.rates(),
+            self.settings.crossing_ms,
+            now,
+        )
+        return explain_request(query, sources)
+
     def drain(self) -> None:
         """Leave the fleet, as on SIGTERM."""
         self._leave_requested.set()
--- a/jaypost/fleet_client.py
+++ b/jaypost/fleet_client.py
@@ -4,7 +4,7 @@
 
 from dataclasses import dataclass
 from typing import Any, TypeVar
-from urllib.parse import quote
+from urllib.parse import quote, urlencode
 
 import msgspec
 
@@ -12,6 +12,7 @@
 from jaypost.errors import ErrorKind
 from jaypost.explanations import Explanation
 from jaypost.records import Address, NodeState, Target
+from jaypost.request_explanations import RequestExplanation, RequestQuery
 
 T = TypeVar("T")
 
@@ -200,6 +201,11 @@
         """Return how the node that answers routes requests for `service`."""
         return await self._get(f"/explain/{quote(service, safe='')}", Explanation)
 
+    async def explain_request(self, query: RequestQuery) -> RequestExplanation | QueryFailed:
+        """Return what the node that answers would do with a request now."""
+        parameters = urlencode(msgspec.to_builtins(query))
+        return await self._get(f"/explain-request?{parameters}", RequestExplanation)
+
     async def events(self, limit: int, name: str | None) -> EventsView | QueryFailed:
         """Return up to `limit` of the newest events, optionally only those called `name`."""
         name_query = "" if name is None else f"&name={quote(name, safe='')}"
--- a/jaypost/placement.py
+++ b/jaypost/placement.py
@@ -324,6 +324,18 @@
                 return Chosen(target, may_queue=False)
         return Chosen(self._queue_target(state, tiers, query), may_queue=True)
 
+    def preview(self, query: ChooseTarget) -> Chosen | NoTarget:
+        """Return what `choose` would return now, without an effect on later choices."""
+        rng_state = self._rng.getstate()
+        state = self._state_by_service.get(query.service)
+        overloaded_since = state.region_overloaded_since if state is not None else None
+        try:
+            return self.choose(query)
+        finally:
+            self._rng.setstate(rng_state)
+            if state is not None and overloaded_since is not None:
+                state.region_overloaded_since = overloaded_since
+
     def observe(self, event: AttemptStarted | AttemptEnded | TargetLeaving) -> None:
         """Update the known load and health with the start or end of an attempt, or a departure."""
         if isinstance(event, TargetLeaving):
--- a/jaypost/queries.py
+++ b/jaypost/queries.py
@@ -38,6 +38,7 @@
 )
 from jaypost.formats import InvalidInput, format_rows, row_cells, row_changes
 from jaypost.records import Row, Table
+from jaypost.request_explanations import RequestExplanation, RequestQuery
 from jaypost.store import StoreFailed
 from jaypost.table import EMPTY_TABLE, apply_row_changes, diff, row_columns, validate
 from jaypost.writers import ChangeFound, TableWriter, VersionGone
@@ -196,6 +197,55 @@
     return ExitCode.DONE
 
 
+async def explain_request(context: Context, arguments: argparse.Namespace) -> ExitCode:
+    """Show where a request would go now and why, without sending it."""
+    query = RequestQuery(
+        arguments.host, arguments.path, arguments.method, arguments.workspace or ""
+    )
+    explanation = await _fleet_client(context).explain_request(query)
+    if isinstance(explanation, QueryFailed):
+        return _report_failure(context, explanation)
+    if context.output is OutputFormat.JSON:
+        context.print_json(explanation)
+    else:
+        _show_request_explanation(context, explanation)
+    return ExitCode.DONE
+
+
+def _show_request_explanation(context: Context, explanation: RequestExplanation) -> None:
+    seen_by = f"version {explanation.version}, seen by {explanation.node_id}"
+    if explanation.refused:
+        route = explanation.route or "no route"
+        context.print_line(f"{route}: refused with {explanation.refused}, {seen_by}")
+        context.print_line(f"status {explanation.status}, not run")
+        return
+    repeatable = "may be repeated" if explanation.repeatable else "runs at most once"
+    context.print_line(f"route {explanation.route}, {repeatable}, {seen_by}")
+    context.print_line(f"priority {explanation.priority}")
+    if explanation.workspace:
+        limit = f"{explanation.rate_limit:g}/s on all hosts" if explanation.rate_limit else "none"
+        context.print_line(
+            f"workspace {explanation.workspace}: limit {limit}, "
+            f"share of this host {explanation.share_rate:.2f}/s"
+        )
+    for destination in explanation.destinations:
+        context.print_line(
+            f"destination {destination.service}: {destination.share:.1%} of the requests, "
+            f"{destination.canary_share:.1%} of them to a new version"
+        )
+        if destination.refused:
+            context.print_line(f"  refused with {destination.refused}")
+        for number, choice in enumerate(destination.choices):
+            name = "target" if not number else "next one"
+            waits = ", may wait there" if choice.may_wait else ""
+            context.print_line(
+                f"  {name}: {choice.target_id} {choice.version}".rstrip()
+                + f" on {choice.node_id} in {choice.failure_domain}{waits}"
+            )
+    if explanation.explanation is not None:
+        _show_explanation(context, explanation.explanation)
+
+
 def _show_explanation(context: Context, explanation: Explanation) -> None:
     row = explanation.row
     context.print_line(
