Serve routes whose names and numbers are beyond those of the table

A version of the operator's document was refused as a whole by every node when one route had a capital letter in its name, a weight above 1000 or a fraction, many attempts, or a large priority or timeout (CONFIG).

Cause: the adapter passed names and numbers on that the table does not allow.

--- a/tests/test_platform_documents.py
+++ b/tests/test_platform_documents.py
@@ -15,6 +15,7 @@
 from jaypost.codecs import METHODS, RequestHead, ResponseHead, client_codec, server_codec
 from jaypost.records import Destination, RouteIndex, Table
 from jaypost.settings import HttpCodec
+from jaypost.workspaces.keys import Workspace, WorkspaceIndex
 
 ROOT = Path(__file__).resolve().parent.parent
 
@@ -217,3 +218,69 @@
     template = (ROOT / "deploy" / "node.env").read_text()
     parts = {part for path in re.findall(r"{{([^}|]+)", template) for part in path.split(".")}
     assert not parts & renamed.keys()
+
+
+@pytest.mark.parametrize(
+    ("changes", "column", "expected"),
+    [
+        ({"attempts": 50}, "retry_limit", 10),
+        ({"attempts": 0}, "retry_limit", 0),
+        ({"priority": 5_000}, "priority", 1_000),
+        ({"timeout_ms": 1e12}, "timeout_ms", 3_600_000),
+        ({"target_latency_ms": 1e12}, "target_latency_ms", 3_600_000),
+    ],
+)
+def test_number_beyond_the_table_does_not_cost_the_version(
+    changes: dict[str, object], column: str, expected: int
+) -> None:
+    """Guards against a version that is refused as a whole for one number (CONFIG, issue 30)."""
+    decoded = DocumentReader(RETRY_RATIO).decode(document(routes=[SAFE_ROUTE | changes]))
+    assert isinstance(decoded, Table)
+    assert table.validate(decoded.rows_by_service) == ()
+    assert getattr(decoded.rows_by_service["route.r1"], column) == expected
+
+
+@pytest.mark.parametrize(
+    ("weights", "expected"),
+    [
+        ((90, 10), (90, 10)),
+        ((9000, 1000), (1000, 111)),
+        ((0.75, 0.25), (1000, 333)),
+        ((0, 5000), (0, 1000)),
+    ],
+)
+def test_weights_keep_their_proportions(
+    weights: tuple[float, float], expected: tuple[int, int]
+) -> None:
+    """Guards against a version that is refused for large or fractional weights (issue 30)."""
+    backends = [{"service": s, "weight": w} for s, w in zip("xy", weights, strict=True)]
+    decoded = DocumentReader(RETRY_RATIO).decode(
+        document(routes=[SAFE_ROUTE | {"destinations": backends}])
+    )
+    assert isinstance(decoded, Table) and table.validate(decoded.rows_by_service) == ()
+    row = decoded.rows_by_service["route.r1"]
+    assert tuple(item.weight for item in row.destinations) == expected
+
+
+@pytest.mark.parametrize("name", ["Pack-Orders", "a b", "x" * 200, "\u00e4", ""])
+def test_any_name_of_a_route_is_served(name: str) -> None:
+    """Guards against a version that is refused as a whole for a name (CONFIG, issue 30)."""
+    routes = [SAFE_ROUTE | {"name": name}, UNSAFE_ROUTE]
+    decoded = DocumentReader(RETRY_RATIO).decode(document(routes=routes))
+    assert isinstance(decoded, Table) and table.validate(decoded.rows_by_service) == ()
+    row = RouteIndex(decoded.rows_by_service.values()).find("shop.example", "/a/1")
+    assert row is not None and row.priority == 2
+
+
+def test_workspaces_of_a_document_become_rows_without_keys() -> None:
+    """Guards against a key in the table, and a workspace whose priority hides that of a route."""
+    entries = [
+        {"name": "Pulo_1", "keys": ["k1", "k2"], "priority": 1, "rate_limit": 5, "rate_burst": 7},
+        {"name": "w2", "keys": ["k3"]},
+    ]
+    decoded = DocumentReader(RETRY_RATIO).decode(document(workspaces=entries))
+    assert isinstance(decoded, Table) and table.validate(decoded.rows_by_service) == ()
+    index = WorkspaceIndex(decoded.rows_by_service.values())
+    assert index.find(b"k2") == Workspace("Pulo_1", 1, 5.0, 7.0)
+    assert index.find(b"k3") == Workspace("w2")
+    assert b"k1" not in table.encode(decoded) and "k1" not in str(decoded.rows_by_service)
