Read the orders again after an error, and take a first era for no change

The watch of the orders ended with an exception of any kind, and nobody would have read an order until the decider changed. A decider that had not talked to the store before took its first response for a new era, and for 15 s a repeated order for one that the store had lost.

--- a/jaypost/rollouts/coordinator.py
+++ b/jaypost/rollouts/coordinator.py
@@ -199,6 +199,9 @@
         self._rollout_by_service: dict[str, _Rollout] = {}
         self._step_by_service: dict[str, RolloutStep] = {}
         self._tasks: list[asyncio.Task[None]] = []
+        # Revision from which the watch of the orders continues, and the era of the store then.
+        self._orders_revision = 0
+        self._known_era = 0
         # Until when an order with known contents counts as one that the store had lost.
         self._rewrites_until = float("-inf")
 
@@ -216,27 +219,36 @@
     # Orders
 
     async def _watch(self) -> None:
-        revision = known_era = 0
         while True:
-            if not self._fleet.is_decider():
-                revision = 0
-                self._rollout_by_service.clear()
-                await self._sleep(ROLE_CHECK_INTERVAL_S)
-                continue
-            if self._era() != known_era:
-                revision, known_era = 0, self._era()
-                self._rewrites_until = self._clock() + REWRITE_S
-            outcome = await self._store.watch_prefix(
-                self._keys.order_prefix, revision, WATCH_WAIT_S
-            )
-            if isinstance(outcome, StoreFailed):
-                log.info(EventName.READ_FAILED, reason=outcome.reason)
+            try:
+                await self._watch_once()
+            except Exception:
+                # An error must not end the task: nobody else would read the orders.
+                log.exception(EventName.ROLLOUT_FAILED, service="")
                 await self._sleep(STORE_PAUSE_S)
-                continue
-            if isinstance(outcome, PrefixRead) and not await self._apply_orders(outcome):
-                await self._sleep(STORE_PAUSE_S)
-                continue
-            revision = outcome.revision
+
+    async def _watch_once(self) -> None:
+        """Wait for a change of the orders and apply it."""
+        if not self._fleet.is_decider():
+            self._orders_revision = 0
+            self._rollout_by_service.clear()
+            await self._sleep(ROLE_CHECK_INTERVAL_S)
+            return
+        if self._era() != self._known_era:
+            self._orders_revision = 0
+            if self._known_era:
+                self._rewrites_until = self._clock() + REWRITE_S
+            self._known_era = self._era()
+        outcome = await self._store.watch_prefix(
+            self._keys.order_prefix, self._orders_revision, WATCH_WAIT_S
+        )
+        if isinstance(outcome, StoreFailed):
+            log.info(EventName.READ_FAILED, reason=outcome.reason)
+            await self._sleep(STORE_PAUSE_S)
+        elif isinstance(outcome, PrefixRead) and not await self._apply_orders(outcome):
+            await self._sleep(STORE_PAUSE_S)
+        else:
+            self._orders_revision = outcome.revision
 
     async def _apply_orders(self, read: PrefixRead) -> bool:
         """Begin or continue the roll-outs of the orders; tell whether their states were read."""
