Use what operators accept beyond a limit, and keep tokens in a recovery

Change: half of what is accepted beyond a limit in a window is admitted steadily, a third as room; nodes that left are not waited for; the tokens that are not leased go on in the recovery, since an earlier divider has never leased them.

--- a/jaypost/allotments/node.py
+++ b/jaypost/allotments/node.py
@@ -8,10 +8,10 @@
 from jaypost.allotments.buckets import ShareBuckets, TakeOutcome
 from jaypost.allotments.divider import Divider, DividerStore
 from jaypost.allotments.holder import ShareHolder
-from jaypost.allotments.shares import Limit
+from jaypost.allotments.shares import Limit, Tolerance, limit_with
 from jaypost.gossip import Gossip
 from jaypost.messages import AllotmentReply, AllotmentRequest
-from jaypost.records import NodeRecord
+from jaypost.records import NodeRecord, NodeState
 from jaypost.settings import Settings
 from jaypost.view import MembershipView
 from jaypost.workspaces.keys import Workspace, WorkspaceIndex
@@ -53,7 +53,9 @@
         is_ready: Callable[[], bool],
         rng: random.Random,
     ) -> None:
-        self._settings = settings
+        self._tolerance = Tolerance(
+            settings.allotment_tolerance, settings.allotment_slack, settings.allotment_window_s
+        )
         self._gossip = gossip
         self._view = view
         self._workspaces = workspaces
@@ -96,22 +98,12 @@
         if index is not self._limits_of:
             self._limits_of = index
             self._limit_by_workspace = {
-                name: Limit(item.rate_limit, self._room(item))
+                name: limit_with(self._tolerance, item.rate_limit, item.rate_burst)
                 for name, item in index.workspace_by_name.items()
                 if item.rate_limit
             }
         return self._limit_by_workspace
 
-    def _room(self, workspace: Workspace) -> float:
-        """Return how many requests beyond the rate may be admitted in a short time.
-
-        It is the burst, and what the operators accept beyond the limit in a window.
-        """
-        settings = self._settings
-        in_window = settings.allotment_window_s * workspace.rate_limit + workspace.rate_burst
-        accepted = settings.allotment_tolerance * in_window + settings.allotment_slack
-        return workspace.rate_burst + accepted
-
     # Allotments, as the ingress uses them
 
     def take(self, workspace: Workspace) -> TakeOutcome:
@@ -154,4 +146,5 @@
         return self._is_ready() and self._gossip.store_reader_place() == 0
 
     def _host_ids(self) -> Iterable[str]:
-        return [record.node_id for record in self._view.records()]
+        records = self._view.records()
+        return [record.node_id for record in records if record.state is not NodeState.LEFT]
--- a/jaypost/allotments/shares.py
+++ b/jaypost/allotments/shares.py
@@ -24,6 +24,9 @@
 LEASED_RATE_FRACTION = 0.5
 LEASED_ROOM_FRACTION = 0.5
 KEPT_ROOM_FRACTION = 0.4
+# Parts of what operators accept beyond a limit in a window that are admitted steadily and at once.
+STEADY_TOLERANCE_FRACTION = 0.5
+BURST_TOLERANCE_FRACTION = 0.35
 # Demand in requests per second that is added for each host, so that one whose requests are rare has
 # a share as well.
 MIN_DEMAND = 0.05
@@ -39,13 +42,49 @@
     Parameters
     ----------
     rate : float
-        Requests per second.
+        Requests per second that may be admitted.
     room : float
         Requests beyond the rate that may be admitted in a short time.
+    configured : float
+        Requests per second in the table, by which hosts follow a change of the limit.
     """
 
     rate: float
     room: float
+    configured: float
+
+
+@dataclass(frozen=True, slots=True)
+class Tolerance:
+    """What operators accept beyond a limit: a fraction of it and some requests, in a window.
+
+    Parameters
+    ----------
+    fraction : float
+        Fraction of what the limit allows in the window.
+    requests : float
+        Requests in addition.
+    window_s : float
+        Length of the window in seconds.
+    """
+
+    fraction: float
+    requests: float
+    window_s: float
+
+
+def limit_with(tolerance: Tolerance, rate: float, burst: float) -> Limit:
+    """Return the limit to divide, for a rate and a burst in the table.
+
+    Part of what is accepted beyond them in a window is admitted steadily, part of it at once. The
+    rest is left for requests on their way and for changes of the shares.
+    """
+    accepted = tolerance.fraction * (tolerance.window_s * rate + burst) + tolerance.requests
+    return Limit(
+        rate + STEADY_TOLERANCE_FRACTION * accepted / tolerance.window_s,
+        burst + BURST_TOLERANCE_FRACTION * accepted,
+        rate,
+    )
 
 
 @dataclass(frozen=True, slots=True)
@@ -86,7 +125,7 @@
     tokens : float
         Requests that may be admitted at once, in addition.
     limit : float
-        Limit of the workspace that was divided, in requests per second.
+        Limit of the workspace in the table that was divided, in requests per second.
     """
 
     workspace: str
@@ -244,15 +283,19 @@
         book.tokens -= tokens
         if is_new and not recovering:
             tokens = max(tokens, min(FIRST_TOKENS, room))
-        return Grant(demand.workspace, rate, room, tokens, limit.rate)
+        return Grant(demand.workspace, rate, room, tokens, limit.configured)
 
     @staticmethod
     def _refill(book: _Book, limit: Limit, recovering: bool, now: float) -> None:
-        """Add the tokens of the part of the rate that is not leased."""
-        if not recovering:
-            leased = sum(lease.rate for lease in book.lease_by_host.values())
-            passed_s = max(0.0, now - book.refilled_at)
-            book.tokens += max(0.0, limit.rate - leased) * passed_s
+        """Add the tokens of the part of the rate that is not leased.
+
+        An earlier divider has leased no more than its part, and grants nothing any more.
+        """
+        leased = sum(lease.rate for lease in book.lease_by_host.values())
+        if recovering:
+            leased = LEASED_RATE_FRACTION * limit.rate
+        passed_s = max(0.0, now - book.refilled_at)
+        book.tokens += max(0.0, limit.rate - leased) * passed_s
         book.tokens = min(book.tokens, max(1.0, KEPT_ROOM_FRACTION * limit.room))
         book.refilled_at = max(book.refilled_at, now)
 
