--- a/tests/eras/test_store_eras.py
+++ b/tests/eras/test_store_eras.py
@@ -22,7 +22,7 @@
 from standins.platform_store import PlatformStoreServer
 from tests.gossip_fleet import make_settings
 
-KEY = "op/config"
+KEY = "op/document"
 
 
 @pytest.fixture
