Keep the divider while it can divide, and admit before there is one

The divider changed three times in 3 s, as the first reader did while the nodes joined, each time with a recovery; and hosts without a divider admitted a tenth of a limit divided by all hosts.

Change: a divider goes on until it leaves, hears nobody or loses its lease. Hosts that have known no divider since their start use equal shares of the part that a divider leases, report them as held, and do not wait.

--- a/jaypost/allotments/buckets.py
+++ b/jaypost/allotments/buckets.py
@@ -9,7 +9,7 @@
 from collections.abc import Iterable
 from dataclasses import dataclass
 
-from jaypost.allotments.shares import LEASE_S, Demand, Grant
+from jaypost.allotments.shares import LEASE_S, LEASED_RATE_FRACTION, Demand, Grant
 from jaypost.workspaces.keys import Workspace
 
 # Time constants of the two estimates of the demand. The slow one keeps the share of a host whose
@@ -17,6 +17,10 @@
 SLOW_DEMAND_TIME_S = 5.0
 FAST_DEMAND_TIME_S = 1.0
 FAST_DEMAND_WEIGHT = 0.5
+# Part of a limit that the hosts use in equal shares while there has been no divider since they
+# started, as after a loss of all hosts. It is the part that a divider leases, and the hosts report
+# it as held.
+UNDIVIDED_FRACTION = LEASED_RATE_FRACTION
 # A workspace without requests for this long gives its share back.
 IDLE_S = 10.0
 # Time in seconds for which a host does not ask for more tokens after the divider had too few.
@@ -89,8 +93,12 @@
         self._bucket_by_workspace: dict[str, _Bucket] = {}
         # Hosts of the fleet, among which the fallback is divided.
         self.host_count = 1
+        # Whether a divider has been known since the start of the process.
+        self.was_divided = False
 
-    def take(self, workspace: Workspace, now: float, may_wait: bool = True) -> TakeOutcome:
+    def take(
+        self, workspace: Workspace, now: float, may_wait: bool = True, has_waited: bool = False
+    ) -> TakeOutcome:
         """Take a token for a request.
 
         Parameters
@@ -100,11 +108,13 @@
         now : float
             Time in seconds, suspended time included.
         may_wait : bool
-            Whether the request can wait for the divider.
+            Whether there is a divider for which the request can wait.
+        has_waited : bool
+            Whether the request has waited already, so that it was counted before.
         """
         bucket = self._bucket(workspace, now)
         self._refill(bucket, now)
-        if may_wait:
+        if not has_waited:
             self._count_demand(bucket, now)
         if bucket.granted_tokens >= 1.0:
             bucket.granted_tokens -= 1.0
@@ -112,7 +122,7 @@
         if bucket.tokens >= 1.0:
             bucket.tokens -= 1.0
             return Taken()
-        if may_wait and now - bucket.denied_at >= DENIED_PAUSE_S:
+        if may_wait and not has_waited and now - bucket.denied_at >= DENIED_PAUSE_S:
             return Short()
         return OverAllotment(self._retry_after_s(bucket, now))
 
@@ -151,7 +161,7 @@
                 name,
                 self._demand_of(bucket, now),
                 bucket.waiting,
-                bucket.rate if bucket.expires_at > now else 0.0,
+                bucket.rate if bucket.expires_at > now else self._undivided_rate(bucket, now),
                 bucket.room if bucket.expires_at > now else 0.0,
             )
             for name, bucket in self._bucket_by_workspace.items()
@@ -159,6 +169,7 @@
 
     def apply(self, grants: Iterable[Grant], asked_at: float, now: float) -> None:
         """Use the grants that answer a request which was sent at `asked_at`."""
+        self.was_divided = True
         for grant in grants:
             bucket = self._bucket_by_workspace.get(grant.workspace)
             if bucket is None:
@@ -172,6 +183,10 @@
             bucket.tokens = min(bucket.tokens, bucket.room)
             bucket.granted_tokens = grant.tokens
 
+    def _undivided_rate(self, bucket: _Bucket, now: float) -> float:
+        """Return the rate that this host uses without a lease, if no divider has been known."""
+        return 0.0 if self.was_divided else self._rate(bucket, now)
+
     def rates(self, now: float) -> dict[str, float]:
         """Return the present share of each workspace in requests per second, by name."""
         buckets = self._bucket_by_workspace.items()
@@ -181,6 +196,7 @@
         bucket = self._bucket_by_workspace.get(workspace.name)
         if bucket is None:
             bucket = _Bucket(workspace, now, demand_at=now)
+            bucket.tokens = 0.0 if self.was_divided else 1.0
             self._bucket_by_workspace[workspace.name] = bucket
         elif bucket.workspace is not workspace:
             bucket.workspace = workspace
@@ -194,7 +210,8 @@
         """
         limit = bucket.workspace.rate_limit
         if bucket.expires_at <= now or not bucket.granted_limit:
-            return self._fallback_fraction * limit / max(1, self.host_count)
+            fraction = self._fallback_fraction if self.was_divided else UNDIVIDED_FRACTION
+            return fraction * limit / max(1, self.host_count)
         return bucket.rate * limit / bucket.granted_limit
 
     def _refill(self, bucket: _Bucket, now: float) -> None:
--- a/jaypost/allotments/divider.py
+++ b/jaypost/allotments/divider.py
@@ -60,7 +60,7 @@
 
 
 class Divider:
-    """Divides limits while this node is the candidate and holds the lease.
+    """Divides limits while this node holds the lease.
 
     Parameters
     ----------
@@ -69,7 +69,10 @@
     store : DividerStore
         Client of the store.
     is_candidate : callable
-        Tells whether this node should divide.
+        Tells whether this node should divide when no other does.
+    may_continue : callable
+        Tells whether this node may go on once it divides. The candidate may change several times
+        while nodes start, and each change of the divider costs a recovery.
     limits : callable
         Returns the limits of the version in force by workspace.
     hosts : callable
@@ -89,6 +92,7 @@
         node_id: str,
         store: DividerStore,
         is_candidate: Callable[[], bool],
+        may_continue: Callable[[], bool],
         limits: Callable[[], Mapping[str, Limit]],
         hosts: Callable[[], Iterable[str]],
         publish_term: Callable[[int], None],
@@ -99,6 +103,7 @@
         self._node_id = node_id
         self._store = store
         self._is_candidate = is_candidate
+        self._may_continue = may_continue
         self._limits = limits
         self._hosts = hosts
         self._publish_term = publish_term
@@ -141,12 +146,12 @@
 
     async def _run(self) -> None:
         while True:
-            if not self._is_candidate() or not self._limits():
+            if not self._limits() or not self._may_continue():
                 await self._step_down()
-            elif self._lease_id is None:
-                await self._claim()
-            else:
+            elif self._lease_id is not None:
                 await self._renew()
+            elif self._is_candidate():
+                await self._claim()
             await self._sleep(RENEWAL_S)
 
     async def _claim(self) -> None:
--- a/jaypost/allotments/holder.py
+++ b/jaypost/allotments/holder.py
@@ -82,7 +82,8 @@
         self._sequence = 0
 
     def start(self) -> None:
-        """Start the task."""
+        """Start the task; a node that joined knows the divider of its fleet."""
+        self._buckets.was_divided = self._directory.divider() is not None
         self._task = asyncio.create_task(self._run())
 
     async def close(self) -> None:
@@ -94,7 +95,8 @@
 
     def take(self, workspace: Workspace) -> TakeOutcome:
         """Take a token for a request."""
-        return self._buckets.take(workspace, self._clock())
+        may_wait = self._directory.divider() is not None
+        return self._buckets.take(workspace, self._clock(), may_wait)
 
     def give_back(self, workspace: Workspace) -> None:
         """Return the token of a request that was not run."""
@@ -117,7 +119,7 @@
                         await self._granted.wait()
         finally:
             self._buckets.wait_ended(workspace)
-        return self._buckets.take(workspace, self._clock(), may_wait=False)
+        return self._buckets.take(workspace, self._clock(), has_waited=True)
 
     async def _run(self) -> None:
         while True:
--- a/jaypost/allotments/node.py
+++ b/jaypost/allotments/node.py
@@ -69,6 +69,7 @@
             settings.node_id,
             store,
             self._is_candidate,
+            lambda: is_ready() and not gossip.is_isolated,
             self.limits,
             self._host_ids,
             self._publish_term,
