--- a/jaypost/allotments/buckets.py
+++ b/jaypost/allotments/buckets.py
@@ -56,9 +56,8 @@
 
     `tokens` are those of the share, up to its room; `granted_tokens` came with the last grant, for
     requests that waited. `waiting` is the number of requests that wait for the next grant, `asked`
-    the same when the divider was asked,
-    `denied_at` the time of the last one with too few tokens for them, and `returns_at` the time for
-    which the last refused caller was asked to come back.
+    the same when the divider was asked, `denied_at` the time of the last grant with too few tokens
+    for them, and `returns_at` the time for which the last refused caller was asked to come back.
     """
 
     workspace: Workspace
