Pass the settings of some deployments in the environment

Cause: the template asked every deployment for values that only those with roll-outs and limits of workspaces have.

Change: these four settings are in the environment of the role. An empty variable counts as none, as an empty line of the settings file did already; before, a node refused to start with it (test_empty_variable_takes_the_default failed with RefusedSettings).

--- a/jaypost/settings.py
+++ b/jaypost/settings.py
@@ -460,7 +460,7 @@
         Parsed flags; a flag that was not given is None or absent.
     environment : Mapping[str, str]
         Values by variable, from the environment, from `read_settings_file`, or from both, merged
-        by the caller.
+        by the caller. An empty value counts as none.
 
     Returns
     -------
@@ -497,7 +497,7 @@
     if flag is not None:
         return flag, "flag"
     variable = ENVIRONMENT_PREFIX + name.upper()
-    if variable in environment:
+    if environment.get(variable):
         return environment[variable], f"environment {variable}"
     return setting.default, "default"
 
--- a/tests/test_platform_documents.py
+++ b/tests/test_platform_documents.py
@@ -202,7 +202,8 @@
     template = settings.read_settings_file(str(ROOT / role["template"]))
     assert not isinstance(template, settings.UnreadableFile)
     known = {f"JAYPOST_{name.upper()}" for name in settings.SETTING_BY_NAME}
-    assert template.keys() <= known
+    assert template.keys() | role["env"].keys() <= known
+    assert not template.keys() & role["env"].keys()
     required = {n for n, item in settings.SETTING_BY_NAME.items() if item.default is None}
     assert {f"JAYPOST_{name.upper()}" for name in required} <= template.keys()
     # A watch on a silent connection must end within the gap that the users accept.
@@ -215,8 +216,9 @@
 def test_template_uses_the_new_names_of_renamed_fields() -> None:
     """Guards against placeholders that stay empty because wire.toml renames their fields."""
     renamed = tomllib.loads((ROOT / "deploy" / "wire.toml").read_text())["fields"]
-    template = (ROOT / "deploy" / "node.env").read_text()
-    parts = {part for path in re.findall(r"{{([^}|]+)", template) for part in path.split(".")}
+    texts = [(ROOT / "deploy" / name).read_text() for name in ("node.env", "system.toml")]
+    paths = [path for text in texts for path in re.findall(r"{{([^}|]+)", text)]
+    parts = {part for path in paths for part in path.split(".")}
     assert not parts & renamed.keys()
 
 
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -43,6 +43,13 @@
     assert {problem.name for problem in loaded.problems} == names
 
 
+def test_empty_variable_takes_the_default():
+    """Guards against nodes that refuse to start where the platform has no value for a setting."""
+    loaded = load(REQUIRED | {"JAYPOST_EXPOSURE_SHARE": ""})
+    assert isinstance(loaded, settings.LoadedSettings)
+    assert loaded.source_by_name["exposure_share"] == "default"
+
+
 @pytest.mark.parametrize(
     ("flags", "value", "source"),
     [
