Keep asking for keys when the last workspace is removed

Callers without a key were served by every row as soon as a document had an empty list of workspaces, or an operator had deleted the last one. Found by reading, in the check of the landing; the users' page asks for keys whenever a document has the list.

Cause: a table asks for keys if it has a workspace, and an empty list left none.

--- a/jaypost/cli.py
+++ b/jaypost/cli.py
@@ -238,6 +238,9 @@
     delete = _add_command(
         subparsers, "delete", workspace_commands.delete_workspace, "delete a workspace"
     )
+    delete.add_argument(
+        "--without-keys", action="store_true", help="delete it even if no request needs a key then"
+    )
     for command in (set_, delete):
         command.add_argument("name", metavar="NAME")
         _add_change_flags(command)
--- a/jaypost/workspaces/commands.py
+++ b/jaypost/workspaces/commands.py
@@ -11,7 +11,7 @@
 from jaypost.records import Row, RowChange, Table
 from jaypost.store import StoreFailed
 from jaypost.workspaces.keys import Workspace, key_digest
-from jaypost.workspaces.rows import keys_of, workspace_rows
+from jaypost.workspaces.rows import keys_of, names_of, workspace_rows
 
 
 async def set_workspace(context: Context, arguments: argparse.Namespace) -> ExitCode:
@@ -35,6 +35,11 @@
         base = await writer.read()
         if isinstance(base, StoreFailed):
             return report_store_failure(context, base)
+        if names_of(base.rows_by_service) == {arguments.name} and not arguments.without_keys:
+            raise UsageError(
+                f"{arguments.name} is the last workspace: without one, no request needs a key;"
+                " add --without-keys if this is wanted"
+            )
         changes = _row_changes(_rows_of(base, arguments.name), ())
         return await submit(context, writer, base, changes, arguments)
 
@@ -45,7 +50,7 @@
         base = await writer.read()
     if isinstance(base, StoreFailed):
         return report_store_failure(context, base)
-    names = sorted({row.workspace for row in base.rows_by_service.values() if row.workspace})
+    names = sorted(names_of(base.rows_by_service))
     lines = []
     for name in names:
         first = _rows_of(base, name)[0]
--- a/jaypost/workspaces/rows.py
+++ b/jaypost/workspaces/rows.py
@@ -18,6 +18,8 @@
 # Keys in a row on average; a row may hold up to `MAX_LIST_ENTRIES`.
 KEYS_PER_ROW = 64
 LONGEST_NAME_IN_ROW = 40
+# Keeps a table that asks for keys closed while no workspace has one.
+NOBODY = Workspace("nobody")
 
 
 def workspace_rows(workspace: Workspace, key_digests: Iterable[str]) -> list[Row]:
@@ -53,6 +55,11 @@
     return {digest for row in rows for digest in row.key_digests}
 
 
+def names_of(rows_by_service: Mapping[str, Row]) -> set[str]:
+    """Return the names of all workspaces in a table."""
+    return {row.workspace for row in rows_by_service.values() if row.workspace}
+
+
 def _row_name(name: str) -> str:
     row_name = ROW_PREFIX + name
     if SERVICE_PATTERN.fullmatch(row_name) and len(name) <= LONGEST_NAME_IN_ROW:
--- a/tests/test_platform_documents.py
+++ b/tests/test_platform_documents.py
@@ -286,3 +286,15 @@
     assert index.find(b"k2") == Workspace("Pulo_1", 1, 5.0, 7.0)
     assert index.find(b"k3") == Workspace("w2")
     assert b"k1" not in table.encode(decoded) and "k1" not in str(decoded.rows_by_service)
+
+
+@pytest.mark.parametrize(("workspaces", "asks_for_keys"), [([], True), (None, False)])
+def test_document_without_a_workspace_left_still_asks_for_keys(
+    workspaces: list[object] | None, asks_for_keys: bool
+) -> None:
+    """Guards against a table that serves everybody once its last workspace is removed."""
+    changes = {} if workspaces is None else {"workspaces": workspaces}
+    decoded = DocumentReader(RETRY_RATIO).decode(document(**changes))
+    assert isinstance(decoded, Table) and table.validate(decoded.rows_by_service) == ()
+    index = WorkspaceIndex(decoded.rows_by_service.values())
+    assert bool(index) is asks_for_keys and index.find(b"") is None
