Count and explain the choices about leaving the failure domain

Operators who set crossing_ms could not see what it did: no metric counted the requests that stayed or left, and explain-request showed only the target.

Change: placement tells its choice with the target; jaypost_crossings_total counts it. Nothing changes where crossing_ms is 0. The targets that are chosen are the same as before.

--- a/jaypost/crossings.py
+++ b/jaypost/crossings.py
@@ -12,6 +12,7 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
+from enum import StrEnum
 
 # Bytes of a request and its response whose crossing costs `crossing_ms` once. More cost more.
 CROSSING_UNIT_BYTES = 16_384
@@ -19,6 +20,13 @@
 DOMAIN_ROUND_TRIP_S = 0.002
 
 
+class CrossingChoice(StrEnum):
+    """What was decided for a request that found no free target in its failure domain."""
+
+    STAYED = "stayed"
+    LEFT = "left"
+
+
 @dataclass(frozen=True, slots=True)
 class Crossing:
     """What leaving the domain would cost and save.
--- a/jaypost/daemon.py
+++ b/jaypost/daemon.py
@@ -519,6 +519,8 @@
             metrics.control_bytes(key.kind, key.link, key.direction, count)
         cut = self.ingress.cut_by_reason.items()
         metrics.requests_cut({reason.value: count for reason, count in cut})
+        crossings = self.ingress.count_by_crossing.items()
+        metrics.crossings_changed({choice.value: count for choice, count in crossings})
         buffers = Counter(self.ingress.buffered_bytes()) + Counter(self.egress.buffered_bytes())
         buffers[BufferPlace.LINK] = self.uplink.queued_bytes
         metrics.buffers_changed({place.value: buffers[place] for place in BufferPlace})
--- a/jaypost/ingress.py
+++ b/jaypost/ingress.py
@@ -8,6 +8,7 @@
 import re
 import secrets
 import time
+from collections import Counter
 from collections.abc import Callable, Coroutine, Mapping
 from dataclasses import dataclass, replace
 from typing import Any, Protocol
@@ -57,6 +58,7 @@
     InFlight,
     Responder,
 )
+from jaypost.crossings import CrossingChoice
 from jaypost.descriptors import connection_limits
 from jaypost.egress import Egress
 from jaypost.errors import ANSWER_BY_KIND, ErrorKind, RunState
@@ -661,6 +663,8 @@
             if not hedge:
                 self._fail(self._last_error_kind or chosen.kind)
             return
+        if chosen.crossing is not None:
+            ingress.count_by_crossing[chosen.crossing] += 1
         # Only the first attempt may go to a new version, so that its faults cost fewer requests.
         self._group = self._destination
         self._attempt_count += 1
@@ -1194,6 +1198,8 @@
         max_connections = connection_limits(settings.max_files)
         self.pool = ConnectionPool(settings, probe=True, max_connections=max_connections.to_peers)
         self.in_flight = InFlight()
+        # Requests that found no free target in their failure domain, by what was decided.
+        self.count_by_crossing: Counter[CrossingChoice] = Counter()
         # Mean size in bytes of the responses of each row.
         self.response_bytes_by_row: dict[str, float] = {}
         # Owner of the shares of the workspaces; None where limits of workspaces do not count.
--- a/jaypost/metrics.py
+++ b/jaypost/metrics.py
@@ -155,6 +155,9 @@
         self._requests_cut = self._counter(
             "requests_cut_total", "Requests on connections that were closed without their answers"
         )
+        self._crossings = self._counter(
+            "crossings_total", "Requests without a free target in their failure domain"
+        )
         self._buffered_bytes = self._gauge(
             "buffered_response_bytes", "Bytes of responses in buffers, by what they wait for"
         )
@@ -229,6 +232,11 @@
         for reason, count in count_by_reason.items():
             self._requests_cut.set(self._labels(reason=reason), count)
 
+    def crossings_changed(self, count_by_choice: Mapping[str, int]) -> None:
+        """Set the requests that stayed in their failure domain or left it, since the start."""
+        for choice, count in count_by_choice.items():
+            self._crossings.set(self._labels(choice=choice), count)
+
     def buffers_changed(self, bytes_by_place: Mapping[str, int]) -> None:
         """Set the bytes of responses that the node holds, by what they wait for."""
         self._set_all(self._buffered_bytes, "place", bytes_by_place)
--- a/jaypost/placement.py
+++ b/jaypost/placement.py
@@ -7,7 +7,7 @@
 from collections.abc import Mapping
 from dataclasses import dataclass, field
 
-from jaypost.crossings import Crossing, leaving_share
+from jaypost.crossings import Crossing, CrossingChoice, leaving_share
 from jaypost.errors import ErrorKind
 from jaypost.health import SHED_STATUS, Observation, TargetHealth
 from jaypost.records import Destination, Load, PlacedTarget, Spill, Target, TargetState
@@ -112,10 +112,21 @@
 
 @dataclass(frozen=True, slots=True)
 class Chosen:
-    """The target of an attempt and whether the attempt may wait in its queue."""
+    """The target of an attempt.
+
+    Parameters
+    ----------
+    target : PlacedTarget
+        The target.
+    may_queue : bool
+        Whether the attempt may wait in its queue.
+    crossing : CrossingChoice or None
+        What was decided about leaving the failure domain; None if there was nothing to decide.
+    """
 
     target: PlacedTarget
     may_queue: bool
+    crossing: CrossingChoice | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -315,14 +326,16 @@
             return NoTarget(ErrorKind.NO_TARGET)
         if self._queues_are_full(state, tiers, query):
             return NoTarget(ErrorKind.QUEUE_FULL)
+        crossing: CrossingChoice | None = None
         if not query.must_be_delivered:
-            waits_at = self._target_to_wait_at(state, tiers, query)
-            if waits_at is not None:
-                return Chosen(waits_at, may_queue=True)
-            target = self._free_target(state, tiers, query)
-            if target is not None:
-                return Chosen(target, may_queue=False)
-        return Chosen(self._queue_target(state, tiers, query), may_queue=True)
+            crossing = self._choose_crossing(state, tiers, query)
+            if crossing is CrossingChoice.STAYED:
+                target = min(tiers[0], key=lambda item: self._slot_wait_s(state, item, query.now))
+                return Chosen(target, may_queue=True, crossing=crossing)
+            free_target = self._free_target(state, tiers, query)
+            if free_target is not None:
+                return Chosen(free_target, may_queue=False, crossing=crossing)
+        return Chosen(self._queue_target(state, tiers, query), may_queue=True, crossing=crossing)
 
     def preview(self, query: ChooseTarget) -> Chosen | NoTarget:
         """Return what `choose` would return now, without an effect on later choices."""
@@ -532,13 +545,13 @@
                 return self._better_of_two(state, free, query.now)
         return None
 
-    def _target_to_wait_at(
+    def _choose_crossing(
         self,
         state: _ServiceState,
         tiers: tuple[tuple[PlacedTarget, ...], ...],
         query: ChooseTarget,
-    ) -> PlacedTarget | None:
-        """Return the target of the own domain to wait at, None if one is free or leaving pays."""
+    ) -> CrossingChoice | None:
+        """Decide whether to leave the own domain; None if a target there is free."""
         if not query.crossing_price_s or query.tried or not all(tiers[:REMOTE_TIER]):
             return None
         if len(tiers) < REMOTE_TIER:
@@ -546,16 +559,14 @@
         own_domain, others = tiers[0], tiers[1]
         if any(self._is_free(item, query) for item in own_domain):
             return None
-        waits_here = [self._slot_wait_s(state, item, query.now) for item in own_domain]
-        wait_here_s = min(waits_here)
+        wait_here_s = min(self._slot_wait_s(state, item, query.now) for item in own_domain)
         is_free_there = any(self._is_free(item, query) for item in others)
         wait_there_s = 0.0
         if not is_free_there:
             wait_there_s = min(self._slot_wait_s(state, item, query.now) for item in others)
         crossing = Crossing(wait_here_s, wait_there_s, query.crossing_price_s, query.crossing_bytes)
-        if self._rng.random() < leaving_share(crossing):
-            return None
-        return own_domain[waits_here.index(wait_here_s)]
+        leaves = self._rng.random() < leaving_share(crossing)
+        return CrossingChoice.LEFT if leaves else CrossingChoice.STAYED
 
     def _slot_wait_s(self, state: _ServiceState, placed: PlacedTarget, now: float) -> float:
         """Return the estimated time in seconds until a slot of a target is free for a request."""
--- a/jaypost/queries.py
+++ b/jaypost/queries.py
@@ -238,9 +238,12 @@
         for number, choice in enumerate(destination.choices):
             name = "target" if not number else "next one"
             waits = ", may wait there" if choice.may_wait else ""
+            crossing = (
+                f", none free in its own domain: {choice.crossing}" if choice.crossing else ""
+            )
             context.print_line(
                 f"  {name}: {choice.target_id} {choice.version}".rstrip()
-                + f" on {choice.node_id} in {choice.failure_domain}{waits}"
+                + f" on {choice.node_id} in {choice.failure_domain}{waits}{crossing}"
             )
     if explanation.explanation is not None:
         _show_explanation(context, explanation.explanation)
--- a/jaypost/request_explanations.py
+++ b/jaypost/request_explanations.py
@@ -31,13 +31,14 @@
 
 @dataclass(frozen=True, slots=True)
 class Choice:
-    """Target of one attempt, and whether the attempt may wait there."""
+    """Target of one attempt, whether the attempt may wait there, and the choice about leaving."""
 
     target_id: str
     node_id: str
     failure_domain: str
     version: str
     may_wait: bool
+    crossing: str = ""
 
 
 @dataclass(frozen=True, slots=True)
@@ -223,6 +224,7 @@
                 placed.failure_domain,
                 placed.target.version,
                 chosen.may_queue,
+                chosen.crossing.value if chosen.crossing is not None else "",
             )
         )
     canary_share = canary.share if canary is not None else 0.0
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -8,7 +8,7 @@
 import pytest
 
 from jaypost import placement as pl
-from jaypost.crossings import DOMAIN_ROUND_TRIP_S, Crossing, leaving_share
+from jaypost.crossings import DOMAIN_ROUND_TRIP_S, Crossing, CrossingChoice, leaving_share
 from jaypost.errors import ErrorKind
 from jaypost.health import TargetHealth
 from jaypost.records import Address, Load, PlacedTarget, Spill, Target, TargetState
@@ -125,3 +125,54 @@
     query = replace(pattern.query(1.001), targets=(*HERE, *THERE, new))
     chosen = pattern.placement.choose(query)
     assert isinstance(chosen, pl.Chosen) and chosen.target is new
+
+
+CREST_HERE = {"h": Load(SLOTS, SLOTS, 9), "t": FREE}
+CREST_THERE = {"h": FULL, "t": Load(SLOTS, SLOTS, 9)}
+
+
+@pytest.mark.parametrize(
+    ("loads", "price_s", "choice", "may_queue"),
+    [
+        pytest.param({"h": FREE, "t": FREE}, PRICE_S, None, False, id="calm"),
+        pytest.param(CREST_HERE, 0.0, None, False, id="no price"),
+        pytest.param(CREST_HERE, PRICE_S, CrossingChoice.LEFT, False, id="crest here"),
+        pytest.param(CREST_THERE, PRICE_S, CrossingChoice.STAYED, True, id="crest there"),
+    ],
+)
+def test_choice_is_told_and_a_preview_shows_it(
+    loads: dict[str, Load], price_s: float, choice: CrossingChoice | None, may_queue: bool
+) -> None:
+    """Guards against a metric or an explanation that differs from what was done."""
+    pattern = Pattern(loads, price_s)
+    previewed = pattern.placement.preview(pattern.query(1.001))
+    chosen = pattern.placement.choose(pattern.query(1.001))
+    assert isinstance(chosen, pl.Chosen) and chosen == previewed
+    assert (chosen.crossing, chosen.may_queue) == (choice, may_queue)
+
+
+@pytest.mark.parametrize(
+    ("targets", "tried", "domains"),
+    [
+        pytest.param(THERE, frozenset(), {"b"}, id="all hosts of the domain are dead"),
+        pytest.param(HERE, frozenset(), {"a"}, id="the other domain is dead or cut off"),
+        pytest.param(
+            HERE + THERE,
+            frozenset({"h0"}),
+            {"b"},
+            id="a queue of the domain has refused the request",
+        ),
+    ],
+)
+def test_failures(
+    targets: tuple[PlacedTarget, ...], tried: frozenset[str], domains: set[str]
+) -> None:
+    """Guards against requests that wait for a domain that cannot serve them."""
+    pattern = Pattern({"h": FULL, "t": FREE})
+    query = replace(pattern.query(1.001), targets=targets, tried=tried)
+    seen = set()
+    for _ in range(100):
+        chosen = pattern.placement.choose(query)
+        assert isinstance(chosen, pl.Chosen)
+        seen.add(chosen.target.failure_domain)
+    assert seen == domains
--- a/tests/test_metrics.py
+++ b/tests/test_metrics.py
@@ -117,6 +117,10 @@
             lambda m: [m.requests_cut({"stopped": n}) for n in (2, 3)],
             'requests_cut_total{reason="stopped"} 3',
         ),
+        (
+            lambda m: [m.crossings_changed({"left": n}) for n in (2, 3)],
+            'crossings_total{choice="left"} 3',
+        ),
         (
             lambda m: m.buffers_changed({"link": 5, "socket": 0}),
             'buffered_response_bytes{place="link"} 5',
