Go on dividing and renewing shares after an error

An unexpected error in a call of the store ended the divider's task, and one in a renewal ended that of a host. The candidate stays the same node, so that nobody would have divided, and the host would have used the fallback until it restarted.

Change: both tasks log allotment_failed and try again. Both tests failed before.

--- a/jaypost/allotments/divider.py
+++ b/jaypost/allotments/divider.py
@@ -146,14 +146,22 @@
 
     async def _run(self) -> None:
         while True:
-            if not self._limits() or not self._may_continue():
-                await self._step_down()
-            elif self._lease_id is not None:
-                await self._renew()
-            elif self._is_candidate():
-                await self._claim()
+            try:
+                await self._keep_role()
+            except Exception:
+                # An error must not end the task: this node stays the candidate.
+                log.exception(EventName.ALLOTMENT_FAILED, node=self._node_id, divides=True)
             await self._sleep(RENEWAL_S)
 
+    async def _keep_role(self) -> None:
+        """Get, renew or give up the lease, as the state of the fleet asks."""
+        if not self._limits() or not self._may_continue():
+            await self._step_down()
+        elif self._lease_id is not None:
+            await self._renew()
+        elif self._is_candidate():
+            await self._claim()
+
     async def _claim(self) -> None:
         sent_at = self._clock()
         granted = await self._store.grant_lease(LEASE_TTL_S)
--- a/jaypost/allotments/holder.py
+++ b/jaypost/allotments/holder.py
@@ -8,12 +8,17 @@
 from collections.abc import Callable
 from typing import Protocol
 
+import structlog
+
 from jaypost.allotments.buckets import ShareBuckets, TakeOutcome
 from jaypost.freshness import clock as boot_clock
+from jaypost.logs import EventName
 from jaypost.messages import AllotmentReply, AllotmentRequest
 from jaypost.records import NodeRecord
 from jaypost.workspaces.keys import Workspace
 
+log = structlog.get_logger(__name__)
+
 # Interval between two renewals, and the shortest one when requests wait.
 RENEWAL_S = 1.0
 MIN_RENEWAL_S = 0.05
@@ -128,7 +133,11 @@
                 async with asyncio.timeout(RENEWAL_S * (1.0 + jitter)):
                     await self._wanted.wait()
             self._wanted.clear()
-            await self._renew()
+            try:
+                await self._renew()
+            except Exception:
+                # An error must not end the task: nobody else would renew the shares of this host.
+                log.exception(EventName.ALLOTMENT_FAILED, node=self._node_id, divides=False)
             await asyncio.sleep(MIN_RENEWAL_S)
 
     async def _renew(self) -> None:
--- a/jaypost/logs.py
+++ b/jaypost/logs.py
@@ -99,6 +99,7 @@
     SETTINGS_SIGNALLED = "settings_signalled"
     SETTINGS_REFUSED = "settings_refused"
     DIVIDER_CHANGED = "divider_changed"
+    ALLOTMENT_FAILED = "allotment_failed"
     ROLLOUT_STEP = "rollout_step"
     ROLLOUT_DECIDED = "rollout_decided"
     ROLLOUT_NOT_WRITTEN = "rollout_not_written"
--- a/tests/allotments/test_divider.py
+++ b/tests/allotments/test_divider.py
@@ -47,12 +47,15 @@
     owner: str = ""
     expires_at_by_lease: dict[str, float] = field(default_factory=dict)
     is_away: bool = False
+    raises: bool = False
 
     def _expire(self) -> None:
         if self.owner and self.expires_at_by_lease.get(self.owner, 0.0) <= now():
             self.owner = ""
 
     async def grant_lease(self, ttl_s: float) -> LeaseGranted | StoreFailed:
+        if self.raises:
+            raise RuntimeError("unexpected")
         if self.is_away:
             return StoreFailed("away", Effect.UNKNOWN)
         lease_id = str(len(self.expires_at_by_lease))
@@ -196,6 +199,7 @@
 
     candidate: Candidate
     is_cut: bool = False
+    raises: bool = False
     asked: int = 0
 
     def divider(self) -> NodeRecord | None:
@@ -211,6 +215,8 @@
         self, divider: NodeRecord, request: AllotmentRequest, timeout_s: float
     ) -> AllotmentReply | None:
         self.asked += 1
+        if self.raises:
+            raise RuntimeError("unexpected")
         await asyncio.sleep(0.03)
         if self.is_cut:
             await asyncio.sleep(timeout_s)
@@ -287,3 +293,27 @@
     async with running(candidate), running_host(directory):
         await asyncio.sleep(10.0)
         assert directory.asked == 1
+
+
+async def test_error_of_one_call_does_not_end_the_division() -> None:
+    """Guards against a fleet without a divider for as long as the candidate stays the same."""
+    store = LeaseStore(raises=True)
+    candidate = Candidate(store, "one")
+    async with running(candidate):
+        await asyncio.sleep(5.0)
+        assert not candidate.term
+        store.raises = False
+        await asyncio.sleep(2.0)
+        assert candidate.term
+
+
+async def test_error_of_one_renewal_does_not_end_the_renewals() -> None:
+    """Guards against a host that has no share until it restarts."""
+    candidate = Candidate(LeaseStore(), "one")
+    directory = Directory(candidate, raises=True)
+    async with running(candidate), running_host(directory) as holder:
+        await asyncio.sleep(LEASE_S + 1.0)
+        assert not await admit(holder)
+        directory.raises = False
+        await asyncio.sleep(1.5)
+        assert await admit(holder)
