Write the claims of keys again that a store has lost

Cause: a copy has no leases, and each claim lives under one. Nodes forgot what they had claimed.

Change: a node keeps its last 500 claims and writes them again in the new era, the newest first. New claims are refused as not run for 5 s after a node has heard of the era; one whose own response told it is deleted. Withdrawals and statuses do not use revisions of the earlier era. The event claims_restored tells how many were written.

Evidence: tests/test_claims.py: a table of losses with failing store calls, withdrawals at each step of a restoration, a claim in between, and the state machine with a store that comes back at any point. Seen to fail with the window, the refusal of the first claim, the restoration, the second try and the mark of lost revisions taken out, each by itself.

--- a/jaypost/claims.py
+++ b/jaypost/claims.py
@@ -6,7 +6,7 @@
 import hashlib
 import random
 from collections import OrderedDict
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from typing import Protocol
 
 import msgspec
@@ -35,6 +35,16 @@
 # the store until its lease expires.
 MAX_OPEN_CLAIMS = 10_000
 MAX_PENDING_WITHDRAWALS = 1_000
+# A store that comes back from an older copy has lost its leases, and the claims with them. Each
+# node writes its last claims again; until then, a new claim could take the key of a lost one.
+RESTORE_WINDOW_S = 5.0
+MAX_KEPT_CLAIMS = 500
+RESTORED_PER_S = 200.0
+# For this time after a claim, the node reads from the store periodically, so that it learns that
+# the store has come back.
+WATCHED_S = 60.0
+# Revision of a claim that the store has lost.
+LOST = -1
 
 
 @dataclass(frozen=True, slots=True)
@@ -107,6 +117,14 @@
     lease_id: str
 
 
+@dataclass(frozen=True, slots=True)
+class _KeptClaim:
+    """A claim of this node that is written again if the store loses it."""
+
+    record: ClaimRecord
+    claimed_at: float
+
+
 @dataclass(frozen=True, slots=True)
 class _SharedLease:
     """A lease in the store; new claims use it before the monotonic time `shared_until`."""
@@ -143,6 +161,10 @@
         self._lease_lock = asyncio.Lock()
         self._open_claim_by_key: OrderedDict[tuple[str, str], _OpenClaim] = OrderedDict()
         self._pending_withdrawal_by_key: OrderedDict[str, ClaimRecord] = OrderedDict()
+        self._kept_claim_by_key: OrderedDict[str, _KeptClaim] = OrderedDict()
+        # Keys of claims to write again; the newest is the last one.
+        self._lost_keys: list[str] = []
+        self._restoring_until = float("-inf")
 
     async def claim(self, service: str, key: str, request_id: str, now: float) -> ClaimOutcome:
         """Claim a key for a request, normally with one write to the store.
@@ -165,6 +187,9 @@
         """
         if not self._take_rate_token(now):
             return ClaimUnavailable("claim rate of the node exceeded")
+        restoring_until = self._restoring_until
+        if now < restoring_until:
+            return ClaimUnavailable("the store has lost claims, which are being restored")
         lease = await self._shared_lease(now)
         if isinstance(lease, ClaimUnavailable):
             return lease
@@ -173,7 +198,12 @@
         outcome = await self._create_claim(store_key, record, lease.lease_id)
         if not isinstance(outcome, _OpenClaim):
             return outcome
+        if self._restoring_until != restoring_until:
+            # The response told that the store has come back; it may have lost another claim.
+            await self._delete(store_key, outcome)
+            return ClaimUnavailable("the store has lost claims, which are being restored")
         self._remember_open(store_key, request_id, outcome)
+        self._keep(store_key, _KeptClaim(record, now))
         return Claimed(key, now + DISPATCH_WINDOW_S)
 
     async def record_status(self, service: str, key: str, request_id: str, status: int) -> None:
@@ -182,7 +212,13 @@
         open_claim = self._open_claim_by_key.pop((store_key, request_id), None)
         if open_claim is None:
             return
-        value = msgspec.json.encode(ClaimRecord(open_claim.record.token, request_id, status))
+        record = replace(open_claim.record, status=status)
+        kept = self._kept_claim_by_key.get(store_key)
+        if kept is not None:
+            self._kept_claim_by_key[store_key] = replace(kept, record=record)
+        if open_claim.revision == LOST:
+            return
+        value = msgspec.json.encode(record)
         outcome = await self._store.put(store_key, value, open_claim.revision, open_claim.lease_id)
         if isinstance(outcome, StoreFailed):
             # If the failed write took effect after all, this one ends with a conflict.
@@ -194,9 +230,9 @@
         open_claim = self._open_claim_by_key.pop((store_key, request_id), None)
         if open_claim is None:
             return
-        outcome = await self._store.delete(store_key, open_claim.revision)
-        if isinstance(outcome, StoreFailed):
-            self._remember_withdrawal(store_key, open_claim.record)
+        self._kept_claim_by_key.pop(store_key, None)
+        if open_claim.revision != LOST:
+            await self._delete(store_key, open_claim)
 
     async def retry_withdrawals(self) -> None:
         """Retry the withdrawals that the store has not confirmed; call this periodically."""
@@ -210,6 +246,86 @@
                     return
             self._pending_withdrawal_by_key.pop(store_key, None)
 
+    def store_came_back(self, now: float) -> None:
+        """Refuse new claims for a time: the store has come back from an older copy.
+
+        Parameters
+        ----------
+        now : float
+            Monotonic time in seconds.
+        """
+        self._restoring_until = now + RESTORE_WINDOW_S
+        self._lease = None
+        self._lost_keys = list(self._kept_claim_by_key)
+        for key, open_claim in self._open_claim_by_key.items():
+            self._open_claim_by_key[key] = replace(open_claim, revision=LOST)
+
+    async def watch_store(self, now: float) -> None:
+        """Read from the store if a claim is recent, to learn whether the store has come back."""
+        if not self._kept_claim_by_key or self._lost_keys:
+            return
+        store_key = next(reversed(self._kept_claim_by_key))
+        if now - self._kept_claim_by_key[store_key].claimed_at < WATCHED_S:
+            await self._store.get(store_key)
+
+    async def restore_lost(self, now: float) -> int:
+        """Write the claims again that the store has lost, and return how many were written.
+
+        Call this periodically; what fails is tried again.
+
+        Parameters
+        ----------
+        now : float
+            Monotonic time in seconds.
+        """
+        restored = 0
+        blocked: list[str] = []
+        restoring_until = self._restoring_until
+        while self._lost_keys:
+            store_key = self._lost_keys.pop()
+            kept = self._kept_claim_by_key.get(store_key)
+            if kept is None:
+                continue
+            lease = await self._shared_lease(now)
+            if isinstance(lease, ClaimUnavailable):
+                outcome: _OpenClaim | Duplicate | ClaimUnavailable = lease
+            else:
+                outcome = await self._create_claim(store_key, kept.record, lease.lease_id)
+            if self._restoring_until != restoring_until:
+                return restored  # it has come back again, and all claims are lost once more
+            if isinstance(outcome, _OpenClaim):
+                restored += 1
+                await self._on_restored(store_key, outcome)
+            elif isinstance(outcome, ClaimUnavailable) or now < restoring_until:
+                # A claim that another node made in this time is withdrawn by that node.
+                blocked.append(store_key)
+                if store_key in self._kept_claim_by_key:
+                    self._pending_withdrawal_by_key.pop(store_key, None)
+            if isinstance(outcome, ClaimUnavailable):
+                break
+            await asyncio.sleep(1 / RESTORED_PER_S)
+        self._lost_keys += blocked
+        return restored
+
+    async def _on_restored(self, store_key: str, restored: _OpenClaim) -> None:
+        if store_key not in self._kept_claim_by_key:  # withdrawn in the meantime
+            await self._delete(store_key, restored)
+            return
+        key = (store_key, restored.record.request_id)
+        if key in self._open_claim_by_key:
+            self._open_claim_by_key[key] = restored
+
+    async def _delete(self, store_key: str, claim: _OpenClaim) -> None:
+        outcome = await self._store.delete(store_key, claim.revision)
+        if isinstance(outcome, StoreFailed):
+            self._remember_withdrawal(store_key, claim.record)
+
+    def _keep(self, store_key: str, claim: _KeptClaim) -> None:
+        self._kept_claim_by_key[store_key] = claim
+        self._kept_claim_by_key.move_to_end(store_key)
+        if len(self._kept_claim_by_key) > MAX_KEPT_CLAIMS:
+            self._kept_claim_by_key.popitem(last=False)
+
     def _take_rate_token(self, now: float) -> bool:
         burst = max(1.0, self._rate) if self._rate else 0.0
         earned = self._rate * max(0.0, now - self._refilled_at) if self._rate else 0.0
--- a/jaypost/daemon.py
+++ b/jaypost/daemon.py
@@ -82,6 +82,8 @@
 EXIT_USAGE = 2
 EXIT_DRAIN_TIMEOUT = 1
 PERIODIC_WORK_INTERVAL_S = 10.0
+# With the time that restoring claims takes, it stays below `claims.RESTORE_WINDOW_S`.
+CLAIM_CHECK_INTERVAL_S = 2.0
 # Part of the time between SIGTERM and SIGKILL that is reserved for shutting down after calls in
 # flight have ended.
 SHUTDOWN_RESERVE_S = 0.8
@@ -228,6 +230,7 @@
         await self.admin.start()  # its replies need the membership view
         self._spawn(self._become_ready())
         self._spawn(self._do_periodic_work())
+        self._spawn(self._keep_claims())
         self.metrics.add_update_callback(self._update_metrics)
         self.events.record(EventName.NODE_STARTED, node=self.settings.node_id, process=os.getpid())
 
@@ -501,6 +504,14 @@
             logs.log_left_out_counts()
             await self.claims.retry_withdrawals()
 
+    async def _keep_claims(self) -> None:
+        while True:
+            await asyncio.sleep(CLAIM_CHECK_INTERVAL_S)
+            await self.claims.watch_store(time.monotonic())
+            restored = await self.claims.restore_lost(time.monotonic())
+            if restored:
+                self.events.record(EventName.CLAIMS_RESTORED, claims=restored)
+
     async def _replicate_and_activate(self) -> None:
         """Retry until the held version is replicated, active and not below the minimum version."""
         while True:
@@ -591,6 +602,7 @@
         self._seeds.forget_lease()
         self.departures.forget_kept()
         self.allotments.forget_lease()
+        self.claims.store_came_back(time.monotonic())
         if self.announcements.departures:
             self._spawn(self._keep_departures_again())
 
--- a/jaypost/logs.py
+++ b/jaypost/logs.py
@@ -53,6 +53,7 @@
     STORE_UNAVAILABLE = "store_unavailable"
     STORE_AVAILABLE = "store_available"
     STORE_ERA_CHANGED = "store_era_changed"
+    CLAIMS_RESTORED = "claims_restored"
     STORE_READING_CHANGED = "store_reading_changed"
     ISOLATION_CHANGED = "isolation_changed"
     VERSION_READ = "version_read"
--- a/tests/test_claims.py
+++ b/tests/test_claims.py
@@ -10,7 +10,16 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, rule
 
-from jaypost.claims import MIN_CLAIM_LIFETIME_S, Claimed, Claims, ClaimUnavailable, Duplicate
+from jaypost.claims import (
+    MAX_KEPT_CLAIMS,
+    MIN_CLAIM_LIFETIME_S,
+    RESTORE_WINDOW_S,
+    Claimed,
+    Claims,
+    ClaimUnavailable,
+    Duplicate,
+    claim_key,
+)
 from jaypost.store import (
     Conflict,
     Effect,
@@ -41,6 +50,7 @@
 
     def __init__(self, yields_before_calls=False):
         self.now = 0.0
+        self.era = 1
         self.revision = 0
         self.entry_by_key = {}
         self.expiry_by_lease = {}
@@ -49,6 +59,13 @@
         self.calls = []
         self.yields_before_calls = yields_before_calls
 
+    def come_back(self):
+        """Come back from a copy, without leases and the keys under them."""
+        self.era += 1
+        self.revision = 0
+        self.entry_by_key.clear()
+        self.expiry_by_lease.clear()
+
     async def _call(self, name, action):
         if self.yields_before_calls:
             await _YieldOnce()
@@ -107,8 +124,50 @@
         return await self._call("grant_lease", lambda: self._grant(ttl_s))
 
 
+class FakeClient:
+    """Client of a `FakeStore` that tells `claims` about a new era with the next response."""
+
+    def __init__(self, store):
+        self.claims = None
+        self._store = store
+        self._era = store.era
+
+    async def _ended(self, call):
+        outcome = await call
+        if not isinstance(outcome, StoreFailed) and self._store.era != self._era:
+            self._era = self._store.era
+            self.claims.store_came_back(self._store.now)
+        return outcome
+
+    async def get(self, key):
+        return await self._ended(self._store.get(key))
+
+    async def put(self, key, value, if_revision, lease_id=None):
+        return await self._ended(self._store.put(key, value, if_revision, lease_id))
+
+    async def delete(self, key, if_revision):
+        return await self._ended(self._store.delete(key, if_revision))
+
+    async def grant_lease(self, ttl_s):
+        return await self._ended(self._store.grant_lease(ttl_s))
+
+
+def make_client(store, seed, rate=100.0):
+    client = FakeClient(store)
+    client.claims = Claims(client, rate, random.Random(seed))
+    return client
+
+
 def make_claims(store, seed=1, rate=100.0):
-    return Claims(store, rate, random.Random(seed))
+    return make_client(store, seed, rate).claims
+
+
+async def check_periodically(*nodes, now):
+    """Do what a node does every few seconds, until nothing is left to restore."""
+    for _ in range(3):
+        for claims in nodes:
+            await claims.watch_store(now)
+            await claims.restore_lost(now)
 
 
 async def test_claim_costs_one_write_and_shares_its_lease():
@@ -225,6 +284,117 @@
     assert sum(isinstance(item, Claimed) for item in outcomes) == claimed
 
 
+@pytest.mark.parametrize(
+    ("faults", "first_to_call"),
+    [
+        ([], "owner"),
+        ([], "other"),
+        (["unavailable"], "owner"),
+        # The lease, then the claim, whose effect stays unknown.
+        (["none", "none", "answer lost", "answer lost"], "owner"),
+        (["none", "none", "request lost", "answer lost", "unavailable"], "owner"),
+    ],
+)
+@pytest.mark.parametrize("status", [0, 201])
+async def test_claims_that_the_store_has_lost_are_written_again(faults, first_to_call, status):
+    """Guards against a second dispatch of a key when the store comes back from an older copy."""
+    store = FakeStore()
+    owner, other = make_claims(store, 1), make_claims(store, 2)
+    await owner.claim("pay", "k", "r1", 0.0)
+    if status:
+        await owner.record_status("pay", "k", "r1", status)
+    await other.claim("pay", "other", "r2", 0.0)
+    store.come_back()
+    if first_to_call == "other":
+        assert isinstance(await other.claim("pay", "k", "r2", 0.0), ClaimUnavailable)
+    store.faults = list(faults)
+    await check_periodically(owner, other, now=0.0)
+    assert isinstance(await other.claim("pay", "k", "r3", 0.0), ClaimUnavailable)
+    await owner.retry_withdrawals()
+    await other.retry_withdrawals()
+    store.now = RESTORE_WINDOW_S + 1
+    assert await other.claim("pay", "k", "r3", store.now) == Duplicate("r1", status)
+
+
+@pytest.mark.parametrize("turns", [0, 1, 2, 3, 4, 50])
+async def test_claim_that_is_withdrawn_while_it_is_restored_is_free(turns):
+    """Guards against a restored claim of a request that was not run."""
+    store = FakeStore(yields_before_calls=True)
+    owner, other = make_claims(store, 1), make_claims(store, 2)
+    await owner.claim("pay", "k", "r1", 0.0)
+    store.come_back()
+    await owner.watch_store(0.0)
+    restoring = asyncio.create_task(owner.restore_lost(0.0))
+    for _ in range(turns):
+        await asyncio.sleep(0)
+    await owner.withdraw("pay", "k", "r1")
+    await restoring
+    assert isinstance(await other.claim("pay", "k", "r2", 0.0), ClaimUnavailable)
+    store.now = RESTORE_WINDOW_S + 1
+    assert isinstance(await other.claim("pay", "k", "r3", store.now), Claimed)
+
+
+async def test_claim_of_another_node_that_is_being_withdrawn_does_not_replace_the_lost_one():
+    """Guards against a lost claim that is given up for one made before its loss was known.
+
+    The other node learns from the response to its claim that the store has come back.
+    """
+    store = FakeStore()
+    owner, other = make_claims(store, 1), make_claims(store, 2)
+    await owner.claim("pay", "k", "r1", 0.0)
+    store.come_back()
+    store.faults = ["unavailable", "none", "none", "unavailable"]
+    for _ in range(2):  # the lease of the other node is lost as well
+        await other.claim("pay", "k", "r2", 0.0)
+    assert claim_key("pay", "k") in store.entry_by_key
+    await check_periodically(owner, now=0.0)
+    await other.retry_withdrawals()
+    await check_periodically(owner, now=2.0)
+    store.now = RESTORE_WINDOW_S + 1
+    assert await other.claim("pay", "k", "r3", store.now) == Duplicate("r1", 0)
+
+
+async def test_lost_claim_does_not_touch_another_with_the_same_revision():
+    """Guards against a withdrawal with a revision that was given out again."""
+    store = FakeStore()
+    owner, other = make_claims(store, 1), make_claims(store, 2)
+    for key in ("first", "k"):
+        await owner.claim("pay", key, "r1", 0.0)
+    revision = store.entry_by_key[claim_key("pay", "k")][1]
+    store.come_back()
+    await owner.watch_store(0.0)
+    for now in (0.0, RESTORE_WINDOW_S + 1):
+        store.now = now
+        await other.claim("pay", "k", "r2", now)
+    assert store.entry_by_key[claim_key("pay", "k")][1] == revision
+    await owner.withdraw("pay", "k", "r1")
+    assert await make_claims(store, 3).claim("pay", "k", "r3", store.now) == Duplicate("r2", 0)
+
+
+async def test_status_is_recorded_after_a_claim_was_restored():
+    """Guards against a status that is written with a revision of the earlier era."""
+    store = FakeStore()
+    owner, other = make_claims(store, 1), make_claims(store, 2)
+    await owner.claim("pay", "k", "r1", 0.0)
+    store.come_back()
+    await check_periodically(owner, now=0.0)
+    await owner.record_status("pay", "k", "r1", 201)
+    await check_periodically(other, now=0.0)
+    store.now = RESTORE_WINDOW_S + 1
+    assert await other.claim("pay", "k", "r2", store.now) == Duplicate("r1", 201)
+
+
+async def test_only_the_newest_claims_are_kept():
+    """Guards against memory, and writes after a loss, that grow with all claims of a day."""
+    store = FakeStore()
+    claims = make_claims(store, rate=2.0 * MAX_KEPT_CLAIMS)
+    for number in range(MAX_KEPT_CLAIMS + 10):
+        await claims.claim("pay", f"k{number}", "r", 0.0)
+    store.come_back()
+    await claims.watch_store(0.0)
+    assert await claims.restore_lost(0.0) == MAX_KEPT_CLAIMS
+
+
 class ClaimsMachine(RuleBasedStateMachine):
     """Nodes that race, pause and lose answers dispatch a key at most once a day.
 
@@ -234,11 +404,13 @@
     def __init__(self):
         super().__init__()
         self.store = FakeStore(yields_before_calls=True)
-        self.nodes = [make_claims(self.store, seed) for seed in range(3)]
+        self.clients = [make_client(self.store, seed) for seed in range(3)]
+        self.nodes = [client.claims for client in self.clients]
         self.request_count = 0
         self.running_calls = [None] * 3
         self.claimed_requests = []
         self.dispatched_at = {}
+        self.is_restoring = False
 
     @rule(index=st.integers(0, 2), key=st.sampled_from("xy"))
     def begin_claim(self, index, key):
@@ -273,8 +445,25 @@
 
     @rule(step_s=st.sampled_from([0.5, 9.0, 3600.0, 26 * 3600.0]))
     def advance_time(self, step_s):
+        if self.is_restoring:
+            # Nodes check for it more often than the store refuses new claims.
+            self.store.faults.clear()
+            for client in self.clients:
+                asyncio.run(client.get("table"))
+            asyncio.run(check_periodically(*self.nodes, now=self.store.now))
+            self.is_restoring = False
         self.store.now += step_s
 
+    @rule()
+    def come_back(self):
+        self.store.delayed.clear()
+        self.store.come_back()
+        self.is_restoring = True
+
+    @rule(index=st.integers(0, 2))
+    def restore(self, index):
+        asyncio.run(check_periodically(self.nodes[index], now=self.store.now))
+
     @rule(data=st.data(), run=st.booleans())
     def finish_claim(self, data, run):
         if not self.claimed_requests:
