Split calls from the servers of ingress and egress

A newcomer found two modules of more than 1,000 lines, each of which held a server and a class for one call. The calls are now in ingress_calls.py and egress_calls.py. Code was moved and not changed.

Result: the tests of both, of links, workspaces, statuses and of the daemon pass unchanged, except for the place from which they import one constant.

--- a/tests/request_path/plans.py
+++ b/tests/request_path/plans.py
@@ -12,7 +12,7 @@
 from enum import StrEnum
 
 from jaypost.connections import MAX_WAITING_RESPONSE_BYTES
-from jaypost.ingress import MAX_BUFFERED_RESPONSE_BYTES
+from jaypost.ingress_calls import MAX_BUFFERED_RESPONSE_BYTES
 
 TIMEOUT_MS = 2_000
 BODY_LIMIT = 65_536
--- a/tests/request_path/scenario.py
+++ b/tests/request_path/scenario.py
@@ -11,7 +11,7 @@
 import random
 
 from jaypost.connections import MAX_CONCURRENT_REQUESTS, MAX_WAITING_RESPONSE_BYTES
-from jaypost.ingress import MAX_BUFFERED_RESPONSE_BYTES
+from jaypost.ingress_calls import MAX_BUFFERED_RESPONSE_BYTES
 from jaypost.records import Row
 from tests.harness import Mesh, Node, RawClient, Reply, running_mesh
 from tests.request_path.memory_loop import HIGH_WATER_BYTES, MAX_READ_BYTES, MemoryLoop
