Keep one health record of a target that moves to another group

Callers: after a roll-out had moved all requests to the new version, requests at some hosts were cut with their connection, each time the targets of the service changed.

Cause: the canary group and the service listed the same target. When one of them dropped it, the health record was deleted for both, and choosing a target raised a KeyError in the connection.

Change: a record belongs to the group that listed the target last. It also keeps its state, so that an ejected canary does not get its full weight with the last step.

--- a/jaypost/health.py
+++ b/jaypost/health.py
@@ -143,7 +143,8 @@
     def set_targets(self, service: str, target_ids: Iterable[str], now: float) -> None:
         """Replace the ready targets of a service.
 
-        Targets ramp up from a low weight if they join a service whose targets were set before.
+        Targets ramp up from a low weight if they join a service whose targets were set before. A
+        target that another service had, such as the canary group of a roll-out, keeps its health.
         """
         current_ids = set(target_ids)
         previous_ids = self._ids_by_service.setdefault(service, set())
@@ -152,7 +153,12 @@
         for target_id in previous_ids - current_ids:
             del self._record_by_id[target_id]
         for target_id in current_ids - previous_ids:
-            self._record_by_id[target_id] = _TargetRecord(service, now, ramped_up)
+            known = self._record_by_id.get(target_id)
+            if known is None:
+                self._record_by_id[target_id] = _TargetRecord(service, now, ramped_up)
+            else:
+                self._ids_by_service[known.service].discard(target_id)
+                known.service = service
         self._ids_by_service[service] = current_ids
         if not current_ids:
             del self._ids_by_service[service]
--- a/tests/test_health.py
+++ b/tests/test_health.py
@@ -10,7 +10,7 @@
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 
 from jaypost.errors import ErrorKind
-from jaypost.health import Observation, TargetHealth
+from jaypost.health import CONSECUTIVE_FAILURES_TO_EJECT, Observation, TargetHealth
 
 IDS = ("t0", "t1", "t2", "t3")
 
@@ -212,3 +212,34 @@
     derandomize=True, max_examples=100, stateful_step_count=40, deadline=None
 )
 TestHealthMachine = HealthMachine.TestCase
+
+
+@pytest.mark.parametrize(
+    "moves",
+    [
+        [("a@canary", ("t1",)), ("a", ("t0", "t1")), ("a@canary", ()), ("a", ("t1",))],
+        [("a@canary", ("t1",)), ("a", ("t1",)), ("a@canary", ("t2",)), ("a", ("t1", "t2"))],
+        [("a", ("t1", "t2")), ("a@canary", ("t1", "t2")), ("a", ("t0",)), ("a@canary", ("t1",))],
+        [("a", ("t1",)), ("a@canary", ("t1",)), ("a", ("t1",)), ("a@canary", ("t1",))],
+    ],
+)
+def test_target_moves_between_a_service_and_its_canary(moves):
+    """Guards against a record that one group deletes while the other group lists the target."""
+    health = TargetHealth()
+    for now, (service, target_ids) in enumerate(moves):
+        health.set_targets(service, target_ids, float(now))
+        for target_id in target_ids:
+            health.observe(Observation(target_id, service, None, 200, 0.01, float(now)))
+            assert health.weight(target_id, float(now)) > 0.0
+        assert health.ejected_count(service, float(now)) == 0
+
+
+def test_target_that_moves_to_another_group_keeps_its_health():
+    """Guards against an ejected canary that gets its full weight when all requests move to it."""
+    health = TargetHealth()
+    health.set_targets("a@canary", ("t1", "t2"), 0.0)
+    for _ in range(CONSECUTIVE_FAILURES_TO_EJECT):
+        health.observe(Observation("t1", "a@canary", None, 500, 0.01, 0.0))
+    assert health.weight("t1", 0.1) == 0.0
+    health.set_targets("a", ("t0", "t1", "t2"), 0.1)
+    assert health.weight("t1", 0.1) == 0.0
