Wait before claiming keys after a start during a store outage

Callers: a key could run twice when a node was started again while the store was away and came back from an older copy: it took the lost claim of another node before that had written it again.

Cause: the node did not know the era before, so its first response told no change.

Change: it refuses new claims for 5 s, as after a change of the era.

--- a/jaypost/daemon.py
+++ b/jaypost/daemon.py
@@ -158,6 +158,7 @@
         self.events = events
         self.metrics = Metrics(node_settings.label_limit)
         self._store_available: bool | None = None
+        self._store_reached = False
         self.store = integration.make_store(
             node_settings.store, node_settings.store_timeout_s, self._on_store_call_ended
         )
@@ -616,6 +617,10 @@
         available = 0 < call.status < HTTPStatus.INTERNAL_SERVER_ERROR and not refused
         if available == self._store_available:
             return
+        if available and self._store_available is False and not self._store_reached:
+            # The era before the outage is not known, so the store may be in a new one.
+            self.claims.store_came_back(time.monotonic())
+        self._store_reached = self._store_reached or available
         self._store_available = available
         name = EventName.STORE_AVAILABLE if available else EventName.STORE_UNAVAILABLE
         self.events.record(name, operation=call.operation, status=call.status)
--- a/tests/test_daemon.py
+++ b/tests/test_daemon.py
@@ -16,6 +16,7 @@
 
 from jaypost import STARTED_AT, daemon
 from jaypost.announcements import Announce
+from jaypost.claims import ClaimUnavailable
 from jaypost.events import EventLog
 from jaypost.joining import Joined
 from jaypost.records import Address, TargetState
@@ -93,6 +94,20 @@
     assert [event.name for event in events.newest(10)] == expected
 
 
+@pytest.mark.parametrize(
+    ("statuses", "waits"),
+    [((200,), False), ((0, 200), True), ((0, 0, 404), True), ((200, 0, 200), False)],
+)
+async def test_node_that_started_while_the_store_was_away_waits_before_it_claims(statuses, waits):
+    """Guards against a key that runs again because a lost claim has not been written again yet."""
+    node = daemon.Node(load_settings(), EventLog())
+    for status in statuses:
+        node._on_store_call_ended(StoreCallEnded("get", status, 0.0))
+    outcome = await node.claims.claim("pay", "k", "r", time.monotonic())
+    assert isinstance(outcome, ClaimUnavailable)
+    assert ("restored" in outcome.reason) is waits
+
+
 async def test_admin_port_refuses_connections_until_the_membership_view_exists(monkeypatch):
     """Guards against queries and announcements that reach a node without a membership view.
 
