Drive roll-outs in the chaos runs

The soak knew no roll-outs, so their rules under other faults were shown for fakes only.

Checked: the roll-out ends, a version that fails each request is rolled back and got no more than its share, and excluded targets get nothing 3 s after the end. Calls during a bad version count as disturbed, like those at targets with faults.

--- a/bench/chaos.py
+++ b/bench/chaos.py
@@ -29,6 +29,7 @@
 from bench.chaos_checks import (
     FaultWindow,
     OperatorChange,
+    RolloutRecord,
     RuleViolation,
     RunRecord,
     SentCall,
@@ -42,6 +43,7 @@
     draw_restores,
     draw_schedule,
 )
+from bench.chaos_rollout import EXPOSURE_SHARE, NEW_VERSION, OLD_VERSION, ChaosRollout
 from jaypost.records import Address, Delta, Row, RowChange, Table
 from jaypost.store import StoreFailed
 from jaypost.store_client import StoreClient
@@ -110,6 +112,8 @@
         Whether requests need the key of a workspace, one of which has a limit.
     restores : bool
         Whether the store comes back from older copies.
+    rollout : str
+        ``good`` or ``bad`` for a roll-out of such a version, empty for none.
     """
 
     seed: int
@@ -118,6 +122,7 @@
     convergence_limit_s: float = CONVERGENCE_LIMIT_S
     workspaces: bool = False
     restores: bool = False
+    rollout: str = ""
 
 
 class RecordingCaller(Caller):
@@ -338,14 +343,14 @@
         store = StoreClient(self._fleet.store_address, 2.0)
         await store.start()
         try:
-            return await self._run(TableWriter(store))
+            return await self._run(TableWriter(store), store)
         finally:
             await store.close()
             await self._fleet.close()
             for relay in self._relay_by_node.values():
                 await relay.close()
 
-    async def _run(self, writer: TableWriter) -> RunRecord:
+    async def _run(self, writer: TableWriter, store: StoreClient) -> RunRecord:
         await self._start(writer)
         runner = FaultRunner(
             self._fleet,
@@ -371,6 +376,7 @@
         ]
         samplers = [asyncio.create_task(self._sample_versions(spec)) for spec in self._specs]
         samplers.append(asyncio.create_task(self._record_stalls()))
+        rollout = asyncio.create_task(self._roll_out(store, runner))
         await runner.run(self._draw_schedule())
         faults_ended_s = time.monotonic()
         for operator in operators:
@@ -378,6 +384,7 @@
         await asyncio.gather(*tasks[1:])
         self._history = await self._read_history(writer)
         await self._wait_converged(faults_ended_s)
+        rollout_record = await rollout
         load.stop()
         await tasks[0]
         await self._compare_rows()
@@ -409,8 +416,29 @@
             LIMIT if self._plan.workspaces else None,
             checks.read_shown_keys(self._fleet.directory, (*WORKSPACE_BY_KEY, UNKNOWN_KEY)),
             tuple(self._stalls),
+            rollout_record,
         )
 
+    async def _roll_out(self, store: StoreClient, runner: FaultRunner) -> RolloutRecord | None:
+        plan = self._plan
+        if not plan.rollout:
+            return None
+        # On the hosts of the targets of the same service.
+        numbers = range(plan.nodes, 2 * plan.nodes, len(SERVICES))
+        ids = tuple(f"target-{number}" for number in numbers)
+        rollout = ChaosRollout(SERVICES[0], ids, plan.rollout == "bad", plan.duration_s)
+        start_s = time.monotonic()
+        record = await rollout.run(store, self._start_new_target)
+        if record.is_bad:
+            end_s = time.monotonic() + checks.ROLLOUT_END_S
+            runner.disturbances.append(FaultWindow("behaviour", "new version", start_s, end_s))
+        await asyncio.sleep(2 * checks.ROLLOUT_END_S)
+        return record
+
+    async def _start_new_target(self, target_id: str) -> int:
+        self._start_target(target_id, NEW_VERSION)
+        return await self._listening_port(target_id)
+
     def _draw_schedule(self) -> list[Fault]:
         schedule = list(draw_schedule(self._rng, self._plan.duration_s))
         if self._plan.restores:
@@ -488,17 +516,20 @@
             flags += ["--allotment-tolerance", str(LIMIT.tolerance)]
             flags += ["--allotment-window-s", str(LIMIT.window_s)]
             flags += ["--allotment-slack", str(LIMIT.slack)]
+        if self._plan.rollout:
+            flags += ["--exposure-share", str(EXPOSURE_SHARE)]
         if node_id in self._relay_address_by_node:
             flags += ["--advertise-peer", self._relay_address_by_node[node_id]]
         spec = self._fleet.spec_by_id[node_id]
         self._fleet.start_node(spec, flags, module="bench.stepped_daemon")
 
-    def _start_target(self, target_id: str) -> None:
+    def _start_target(self, target_id: str, version: str = OLD_VERSION) -> None:
         number = int(target_id.rpartition("-")[2])
-        flags = ["--drain-s", str(TARGET_DRAIN_S)]
+        flags = ["--drain-s", str(TARGET_DRAIN_S), "--version", version]
         service = SERVICES[number % len(SERVICES)]
         self._starts_by_target[target_id] += 1
-        self._fleet.start_target(target_id, service, f"host-{number}", SLOTS_PER_TARGET, flags)
+        host = f"host-{number % self._plan.nodes}"
+        self._fleet.start_target(target_id, service, host, SLOTS_PER_TARGET, flags)
 
     async def _restart_node(self, node_id: str) -> None:
         self._start_node(node_id)
@@ -510,20 +541,23 @@
         await self._wait_listening(target_id)
 
     async def _wait_listening(self, target_id: str) -> None:
+        self._port_by_target[target_id] = await self._listening_port(target_id)
+
+    async def _listening_port(self, target_id: str) -> int:
         """Wait until the target listens, and read its port from the log.
 
         The kernel chooses another port at each start.
         """
+        ports: list[str] = []
 
         async def listens() -> bool:
             log = (self._fleet.directory / f"{target_id}.log").read_text()
-            ports = LISTENING_LINE.findall(log)
-            if len(ports) < self._starts_by_target[target_id]:
-                return False
-            self._port_by_target[target_id] = int(ports[-1])
-            return True
+            ports[:] = LISTENING_LINE.findall(log)
+            return len(ports) >= self._starts_by_target[target_id]
 
-        await self._wait_until(listens)
+        if not await self._wait_until(listens):
+            raise RuntimeError(f"{target_id} does not listen after {START_TIMEOUT_S:g} s")
+        return int(ports[-1])
 
     def _target_ids(self) -> list[str]:
         return [f"target-{number}" for number in range(self._plan.nodes)]
@@ -671,6 +705,9 @@
     parser.add_argument(
         "--restores", action="store_true", help="the store comes back from older copies"
     )
+    parser.add_argument(
+        "--rollout", default="", choices=("good", "bad"), help="a roll-out of such a version"
+    )
     arguments = parser.parse_args()
     # Discards the log lines of this process.
     structlog.configure(logger_factory=structlog.ReturnLoggerFactory())
@@ -684,6 +721,7 @@
             arguments.nodes,
             workspaces=arguments.workspaces,
             restores=arguments.restores,
+            rollout=arguments.rollout,
         )
         record, violations = uvloop.run(run_chaos(plan, directory))
         print(describe(record))
--- a/bench/chaos_checks.py
+++ b/bench/chaos_checks.py
@@ -9,13 +9,17 @@
 from dataclasses import dataclass
 from pathlib import Path
 
-from jaypost.records import Delta
+from jaypost.records import Delta, RolloutPhase
 from standins.caller import CallResult
 
 # P7: latest start of a request after its target announced that it drains.
 DRAIN_LIMIT_S = 5.0
 FORBIDDEN_LOG_TEXTS = ("invariant_violated", "Traceback", "node_task_failed")
 MAX_SHOWN_PER_RULE = 5
+# Requests that a bad version may get beyond its share.
+EXPOSURE_SLACK = 10
+# Time after the end of a roll-out in which the targets that it excludes may still get requests.
+ROLLOUT_END_S = 3.0
 # A third of the first-byte timeout of the run.
 MAX_STALLED_S = 0.5
 VERSION_IN_FORCE_LINE = re.compile(
@@ -91,6 +95,32 @@
         return (self.rate * self.window_s + self.burst) * (1 + self.tolerance) + self.slack
 
 
+@dataclass(frozen=True, slots=True)
+class RolloutRecord:
+    """A roll-out of a run.
+
+    Parameters
+    ----------
+    new_target_ids : tuple of str
+        Targets of the new version.
+    is_bad : bool
+        Whether they fail every request.
+    phase : RolloutPhase
+        Phase that the store had at the end.
+    ordered_at_s, ended_at_s : float
+        Times of day in seconds.
+    exposure_share : float
+        Largest part of the requests that a bad version may get.
+    """
+
+    new_target_ids: tuple[str, ...]
+    is_bad: bool
+    phase: RolloutPhase
+    ordered_at_s: float
+    ended_at_s: float
+    exposure_share: float
+
+
 @dataclass(frozen=True, slots=True)
 class FaultWindow:
     """Time span of a fault and of the recovery from it.
@@ -217,6 +247,8 @@
         Files of the run, other than those of its callers, that show a key.
     stalls : tuple of FaultWindow
         Times in which the process with the callers and the relays was not scheduled.
+    rollout : RolloutRecord or None
+        Roll-out to check.
     """
 
     calls: tuple[SentCall, ...]
@@ -238,6 +270,7 @@
     limit: WorkspaceLimit | None = None
     shown_keys: tuple[str, ...] = ()
     stalls: tuple[FaultWindow, ...] = ()
+    rollout: RolloutRecord | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -290,6 +323,7 @@
         *check_processes(record),
         *check_keys(record),
         *check_allotments(record),
+        *check_rollout(record),
     ]
     return tuple(violations)
 
@@ -481,6 +515,37 @@
             yield RuleViolation("allotments", text)
 
 
+def check_rollout(record: RunRecord) -> Iterator[RuleViolation]:
+    """Check that a roll-out ends, that a bad one is rolled back, and what each version gets."""
+    rollout = record.rollout
+    if rollout is None:
+        return
+    if rollout.phase is RolloutPhase.RUNNING:
+        yield RuleViolation("roll-out", "not ended in time")
+    elif rollout.is_bad and rollout.phase is not RolloutPhase.ROLLED_BACK:
+        yield RuleViolation("roll-out", "a version that fails each request succeeded")
+    new_ids = set(rollout.new_target_ids)
+    # Targets with even numbers belong to the service of the roll-out.
+    runs = [
+        line
+        for line in record.journal
+        if line.end == "" and int(line.target_id.rpartition("-")[2]) % 2 == 0
+    ]
+    if rollout.is_bad:
+        during = [run for run in runs if rollout.ordered_at_s <= run.at_s <= rollout.ended_at_s]
+        at_new = sum(run.target_id in new_ids for run in during)
+        if at_new > rollout.exposure_share * len(during) + EXPOSURE_SLACK:
+            text = f"{at_new} of {len(during)} requests ran at the bad version"
+            yield RuleViolation("roll-out", text)
+    excludes_new = rollout.phase is RolloutPhase.ROLLED_BACK
+    for run in runs:
+        is_excluded = (run.target_id in new_ids) == excludes_new
+        if is_excluded and run.at_s > rollout.ended_at_s + ROLLOUT_END_S:
+            late_s = run.at_s - rollout.ended_at_s
+            text = f"{run.request_id} ran at {run.target_id} {late_s:.1f} s after {rollout.phase}"
+            yield RuleViolation("roll-out", text)
+
+
 def read_shown_keys(directory: Path, keys: Iterable[str]) -> tuple[str, ...]:
     """Return the names of the files in a directory that contain one of the keys."""
     wanted = [key.encode() for key in keys]
--- a/standins/target.py
+++ b/standins/target.py
@@ -505,9 +505,10 @@
 class Announcer:
     """Announces a target to the admin port of its node at intervals."""
 
-    def __init__(self, target: StandinTarget, admin: Address) -> None:
+    def __init__(self, target: StandinTarget, admin: Address, version: str = "") -> None:
         self._target = target
         self._admin = admin
+        self._version = version
         self._pool = ConnectionPool(node_settings())
         self._task: asyncio.Task[None] | None = None
         self.state = TargetState.READY
@@ -533,6 +534,7 @@
             "port": self._target.port,
             "slots": self._target.slots,
             "state": self.state,
+            "version": self._version,
         }
         return await self._send("PUT", json.dumps(content).encode())
 
@@ -577,7 +579,7 @@
     port = await target.start(arguments.port)
     target.record_state_change("started")
     print(f"listening port={port}", flush=True)
-    announcer = Announcer(target, arguments.admin) if arguments.admin else None
+    announcer = Announcer(target, arguments.admin, arguments.version) if arguments.admin else None
     if announcer is not None:
         await announcer.start()
     await stop.wait()
@@ -605,6 +607,7 @@
     parser.add_argument("--service", required=True)
     parser.add_argument("--port", type=int, default=0)
     parser.add_argument("--slots", type=int, default=12)
+    parser.add_argument("--version", default="", help="version to announce")
     parser.add_argument("--admin", type=parse_address, help="admin address of the node")
     parser.add_argument(
         "--node",
--- a/tests/test_chaos.py
+++ b/tests/test_chaos.py
@@ -60,3 +60,22 @@
     logs = [path.read_text() for path in tmp_path.glob("host-*.log")]
     assert any("event=store_era_changed" in log for log in logs)
     assert any("event=claims_restored" in log for log in logs)
+
+
+@pytest.mark.parametrize(
+    ("seed", "rollout"),
+    [
+        # With this seed, a target that moved from the canary group to all requests raised an
+        # exception for each request of a host.
+        (42, "good"),
+        (41, "bad"),
+        (43, "bad"),
+    ],
+)
+async def test_rules_hold_in_a_rollout(seed, rollout, tmp_path):
+    """Guards against a roll-out that other faults stop, and requests for excluded targets."""
+    plan = ChaosPlan(seed, 15.0, 6, CONVERGENCE_LIMIT_S, rollout=rollout)
+    record, violations = await run_chaos(plan, tmp_path)
+    assert not violations, summarise(violations)
+    new_ids = set(record.rollout.new_target_ids)
+    assert any(line.target_id in new_ids and line.request_id for line in record.journal)
