--- a/bench/chaos.py
+++ b/bench/chaos.py
@@ -423,10 +423,12 @@
         plan = self._plan
         if not plan.rollout:
             return None
-        # On the hosts of the targets of the same service.
-        numbers = range(plan.nodes, 2 * plan.nodes, len(SERVICES))
-        ids = tuple(f"target-{number}" for number in numbers)
-        rollout = ChaosRollout(SERVICES[0], ids, plan.rollout == "bad", plan.duration_s)
+        # Targets of a service have every other number; the new ones are on the same hosts.
+        numbers = range(0, plan.nodes, len(SERVICES))
+        old_ids = tuple(f"target-{number}" for number in numbers)
+        new_ids = tuple(f"target-{number + plan.nodes}" for number in numbers)
+        is_bad = plan.rollout == "bad"
+        rollout = ChaosRollout(SERVICES[0], old_ids, new_ids, is_bad, plan.duration_s)
         start_s = time.monotonic()
         record = await rollout.run(store, self._start_new_target)
         if record.is_bad:
--- a/bench/chaos_checks.py
+++ b/bench/chaos_checks.py
@@ -101,8 +101,8 @@
 
     Parameters
     ----------
-    new_target_ids : tuple of str
-        Targets of the new version.
+    old_target_ids, new_target_ids : tuple of str
+        Targets of the service, by version.
     is_bad : bool
         Whether they fail every request.
     phase : RolloutPhase
@@ -113,6 +113,7 @@
         Largest part of the requests that a bad version may get.
     """
 
+    old_target_ids: tuple[str, ...]
     new_target_ids: tuple[str, ...]
     is_bad: bool
     phase: RolloutPhase
@@ -525,12 +526,8 @@
     elif rollout.is_bad and rollout.phase is not RolloutPhase.ROLLED_BACK:
         yield RuleViolation("roll-out", "a version that fails each request succeeded")
     new_ids = set(rollout.new_target_ids)
-    # Targets with even numbers belong to the service of the roll-out.
-    runs = [
-        line
-        for line in record.journal
-        if line.end == "" and int(line.target_id.rpartition("-")[2]) % 2 == 0
-    ]
+    ids = new_ids.union(rollout.old_target_ids)
+    runs = [line for line in record.journal if line.end == "" and line.target_id in ids]
     if rollout.is_bad:
         during = [run for run in runs if rollout.ordered_at_s <= run.at_s <= rollout.ended_at_s]
         at_new = sum(run.target_id in new_ids for run in during)
--- a/bench/chaos_rollout.py
+++ b/bench/chaos_rollout.py
@@ -33,8 +33,8 @@
     ----------
     service : str
         The service.
-    target_ids : tuple of str
-        Targets of the new version, which `start_target` starts.
+    old_target_ids, new_target_ids : tuple of str
+        Targets of the service by version; those of the new one are started by the roll-out.
     is_bad : bool
         Whether they answer every request with status 500.
     run_duration_s : float
@@ -42,10 +42,16 @@
     """
 
     def __init__(
-        self, service: str, target_ids: tuple[str, ...], is_bad: bool, run_duration_s: float
+        self,
+        service: str,
+        old_target_ids: tuple[str, ...],
+        new_target_ids: tuple[str, ...],
+        is_bad: bool,
+        run_duration_s: float,
     ) -> None:
         self._service = service
-        self._target_ids = target_ids
+        self._old_target_ids = old_target_ids
+        self._new_target_ids = new_target_ids
         self._is_bad = is_bad
         self._run_duration_s = run_duration_s
 
@@ -57,7 +63,9 @@
         `start_target` starts a target of the new version and returns its port.
         """
         await asyncio.sleep(ORDERED_AT_FRACTION * self._run_duration_s)
-        ports = await asyncio.gather(*(start_target(target_id) for target_id in self._target_ids))
+        ports = await asyncio.gather(
+            *(start_target(target_id) for target_id in self._new_target_ids)
+        )
         if self._is_bad:
             for port in ports:
                 await self._make_bad(Address("127.0.0.1", port))
@@ -70,7 +78,13 @@
             await asyncio.sleep(POLL_INTERVAL_S)
             phase = await self._read_phase(store)
         return RolloutRecord(
-            self._target_ids, self._is_bad, phase, ordered_at_s, time.time(), EXPOSURE_SHARE
+            self._old_target_ids,
+            self._new_target_ids,
+            self._is_bad,
+            phase,
+            ordered_at_s,
+            time.time(),
+            EXPOSURE_SHARE,
         )
 
     async def _make_bad(self, address: Address) -> None:
--- a/jaypost/claims.py
+++ b/jaypost/claims.py
@@ -286,27 +286,33 @@
             kept = self._kept_claim_by_key.get(store_key)
             if kept is None:
                 continue
-            lease = await self._shared_lease(now)
-            if isinstance(lease, ClaimUnavailable):
-                outcome: _OpenClaim | Duplicate | ClaimUnavailable = lease
-            else:
-                outcome = await self._create_claim(store_key, kept.record, lease.lease_id)
+            outcome = await self._write_again(store_key, kept.record, now)
             if self._restoring_until != restoring_until:
                 return restored  # it has come back again, and all claims are lost once more
             if isinstance(outcome, _OpenClaim):
                 restored += 1
                 await self._on_restored(store_key, outcome)
             elif isinstance(outcome, ClaimUnavailable) or now < restoring_until:
-                # A claim that another node made in this time is withdrawn by that node.
+                # Tried again: a claim that another node made in this time is withdrawn by it.
                 blocked.append(store_key)
-                if store_key in self._kept_claim_by_key:
-                    self._pending_withdrawal_by_key.pop(store_key, None)
             if isinstance(outcome, ClaimUnavailable):
                 break
             await asyncio.sleep(1 / RESTORED_PER_S)
         self._lost_keys += blocked
         return restored
 
+    async def _write_again(
+        self, store_key: str, record: ClaimRecord, now: float
+    ) -> _OpenClaim | Duplicate | ClaimUnavailable:
+        lease = await self._shared_lease(now)
+        if isinstance(lease, ClaimUnavailable):
+            return lease
+        outcome = await self._create_claim(store_key, record, lease.lease_id)
+        if isinstance(outcome, ClaimUnavailable) and store_key in self._kept_claim_by_key:
+            # A write without a response may have taken effect; unlike a new claim, it stays.
+            self._pending_withdrawal_by_key.pop(store_key, None)
+        return outcome
+
     async def _on_restored(self, store_key: str, restored: _OpenClaim) -> None:
         if store_key not in self._kept_claim_by_key:  # withdrawn in the meantime
             await self._delete(store_key, restored)
