--- a/bench/chaos_checks.py
+++ b/bench/chaos_checks.py
@@ -49,6 +49,8 @@
         Monotonic times.
     result : CallResult
         What the caller received.
+    workspace : str
+        Workspace whose key the call carried; empty if no workspace has its key.
     """
 
     node_id: str
@@ -57,6 +59,34 @@
     sent_s: float
     ended_s: float
     result: CallResult
+    workspace: str = ""
+
+
+@dataclass(frozen=True, slots=True)
+class WorkspaceLimit:
+    """Limit of the workspace that is checked, and what is accepted beyond it in a window.
+
+    Parameters
+    ----------
+    workspace : str
+        Its name.
+    rate, burst : float
+        Requests per second on all nodes together, and requests beyond them at once.
+    tolerance, slack, window_s : float
+        A fraction of what the limit allows in a window, some requests, and its length in seconds.
+    """
+
+    workspace: str
+    rate: float
+    burst: float
+    tolerance: float
+    slack: float
+    window_s: float
+
+    @property
+    def most_in_window(self) -> float:
+        """Requests that may be executed in a window."""
+        return (self.rate * self.window_s + self.burst) * (1 + self.tolerance) + self.slack
 
 
 @dataclass(frozen=True, slots=True)
@@ -179,6 +209,10 @@
         Versions that came into force, in the order of each log, without their times.
     log_problems : tuple of str
         Log lines that contain one of `FORBIDDEN_LOG_TEXTS`.
+    limit : WorkspaceLimit or None
+        Limit to check; None if the table has no workspaces.
+    shown_keys : tuple of str
+        Files of the run, other than those of its callers, that show a key.
     """
 
     calls: tuple[SentCall, ...]
@@ -197,6 +231,8 @@
     journal: tuple[JournalLine, ...]
     log_versions: tuple[VersionSample, ...]
     log_problems: tuple[str, ...]
+    limit: WorkspaceLimit | None = None
+    shown_keys: tuple[str, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
@@ -247,6 +283,8 @@
         *check_drained_targets(record),
         *check_no_call_cut(record),
         *check_processes(record),
+        *check_keys(record),
+        *check_allotments(record),
     ]
     return tuple(violations)
 
@@ -392,6 +430,54 @@
     )
 
 
+def check_keys(record: RunRecord) -> Iterator[RuleViolation]:
+    """No request without a known key runs, and no process writes a key."""
+    for name in record.shown_keys:
+        yield RuleViolation("keys", f"{name} shows a key")
+    if record.limit is None:
+        return
+    executions_by_request = _count_executions(record)
+    for call in record.calls:
+        served = call.result.status == 200 or executions_by_request[call.result.request_id]
+        if not call.workspace and served:
+            yield RuleViolation("keys", f"ran without a known key: {call.node_id} {call.result}")
+
+
+def check_allotments(record: RunRecord) -> Iterator[RuleViolation]:
+    """Check that the requests of a workspace that run stay within its limit in every window.
+
+    They count at the time at which they were sent. A call that a fault delayed is admitted later,
+    so only undisturbed calls are counted.
+    """
+    limit = record.limit
+    if limit is None:
+        return
+    executions_by_request = _count_executions(record)
+    sent = sorted(
+        call.sent_s
+        for call in undisturbed_calls(record)
+        if call.workspace == limit.workspace and executions_by_request[call.result.request_id]
+    )
+    first = 0
+    for last, sent_s in enumerate(sent):
+        while sent[first] <= sent_s - limit.window_s:
+            first += 1
+        if last - first + 1 > limit.most_in_window:
+            text = f"{last - first + 1} ran in {limit.window_s:g} s, not {limit.most_in_window:g}"
+            yield RuleViolation("allotments", text)
+
+
+def read_shown_keys(directory: Path, keys: Iterable[str]) -> tuple[str, ...]:
+    """Return the names of the files in a directory that contain one of the keys."""
+    wanted = [key.encode() for key in keys]
+    names = []
+    for path in sorted(item for item in directory.rglob("*") if item.is_file()):
+        content = path.read_bytes()
+        if any(key in content for key in wanted):
+            names.append(path.name)
+    return tuple(names)
+
+
 def check_processes(record: RunRecord) -> Iterator[RuleViolation]:
     """Check exit codes, counted invariant violations and logs.
 
--- a/standins/caller.py
+++ b/standins/caller.py
@@ -31,6 +31,7 @@
 from jaypost.pools import CallFailed, ConnectionPool, PooledExchange, Receiver
 from jaypost.records import Address
 from jaypost.settings import HttpCodec, parse_address
+from jaypost.workspaces.keys import KEY_HEADER
 from standins.node_settings import node_settings
 from standins.target import run_on_uvloop
 
@@ -59,6 +60,8 @@
     target_id : str
         Value of the target header, which a node sends to the peer port of another node; empty
         sends no header, as a caller does.
+    workspace_key : str
+        Key of the workspace, in the authorization header; empty sends no header.
     """
 
     service: str
@@ -69,6 +72,7 @@
     deadline_ms: int = 0
     key: str = ""
     target_id: str = ""
+    workspace_key: str = ""
 
 
 @dataclass(frozen=True, slots=True)
@@ -253,7 +257,10 @@
         if plan.target_id:
             control[TARGET] = plan.target_id.encode()
         length = len(plan.body) if plan.body or plan.method in ("POST", "PUT", "PATCH") else None
-        head = RequestHead(plan.method, plan.path, control, [], length)
+        headers = []
+        if plan.workspace_key:
+            headers.append((KEY_HEADER, b"Bearer " + plan.workspace_key.encode()))
+        head = RequestHead(plan.method, plan.path, control, headers, length)
         call = _Call(self, plan, request_id, scheduled_at or time.monotonic())
         self.in_flight += 1
         self._pool.start_exchange(PooledExchange(self._address, head, plan.body, True, call))
--- a/tests/test_chaos.py
+++ b/tests/test_chaos.py
@@ -28,3 +28,15 @@
     assert record.terminations and record.disturbances
     assert any(undisturbed_calls(record)), "no call checked for P8"
     assert {"Accepted"} <= {change.outcome for change in record.changes}
+
+
+@pytest.mark.parametrize(("seed", "duration_s", "nodes"), [(21, 8.0, 6), (22, 8.0, 6)])
+async def test_keys_and_limits_hold_under_faults(seed, duration_s, nodes, tmp_path):
+    """Guards against requests without a key, and limits that each side of a fault uses whole."""
+    plan = ChaosPlan(seed, duration_s, nodes, CONVERGENCE_LIMIT_S, workspaces=True)
+    record, violations = await run_chaos(plan, tmp_path)
+    assert not violations, summarise(violations)
+    errors = {call.result.error for call in record.calls}
+    assert {"unknown_key", "allotment_used"} <= errors
+    served = {call.workspace for call in record.calls if call.result.status == 200}
+    assert served == {"lettings", "studio"}
