--- a/review/6/run.py
+++ b/review/10/run.py
@@ -1,4 +1,4 @@
-"""Case 6: all nodes are killed at once while one tenant sends many times its usual."""
+"""Case 10: all nodes are killed at once while one tenant sends many times its usual."""
 
 from __future__ import annotations
 
@@ -15,10 +15,11 @@
 HERE = Path(__file__).resolve().parent
 NODES = 12
 ZONES = (("nbo-a", "nairobi"), ("nbo-b", "nairobi"), ("mba-a", "mombasa"), ("mba-b", "mombasa"))
-# Limit of the tenant, and what it sends: 7.5 times its usual, which is the limit / 1.6, as the
-# site file has it (`hot_tenant`, `quota_x`).
-RATE, BURST = 60.0, 20.0
-DEMAND = 7.5 * RATE / 1.6
+# Limit of the tenant, what it usually sends, and how many times as much for how long, as the site
+# file has it (`quota_x`, `hot_tenant`).
+RATE, BURST = 80.0, 10.0
+USUAL = RATE / 1.6
+HOT_X, HOT_S = 7.5, 6.5
 WINDOW_S, OVER, SLACK = 5.0, 0.1, 20.0
 BOUNDS = {
     "DrainS": "3000",
@@ -29,7 +30,9 @@
     "QuotaWindowS": "5",
     "QuotaSlack": "20",
 }
-CALM_S, DOWN_S, AFTER_S = 10.0, 1.0, 14.0
+# The tenant begins to send more this long before the nodes are killed.
+HOT_BEFORE_S = 0.5
+CALM_S, DOWN_S, AFTER_S = 8.0, 1.0, 10.0
 
 
 async def play(trouble: bool) -> int:
@@ -85,9 +88,14 @@
         mesh.record.add(f"{text}: {answer.status} {answer.reason}")
 
     async def load() -> None:
-        began, number = now(), 0
-        while now() < began + CALM_S + DOWN_S + AFTER_S:
-            while number < (now() - began) * DEMAND:
+        began = last = now()
+        due, number = 0.0, 0
+        while last < began + CALM_S + DOWN_S + AFTER_S:
+            at = now()
+            is_hot = CALM_S - HOT_BEFORE_S <= at - began < CALM_S - HOT_BEFORE_S + HOT_S
+            due += (at - last) * USUAL * (HOT_X if is_hot else 1.0)
+            last = at
+            while number < due:
                 task = asyncio.create_task(consume(number, number % NODES))
                 tasks.add(task)
                 task.add_done_callback(tasks.discard)
--- a/review/7/run.py
+++ b/review/9/run.py
@@ -1,4 +1,4 @@
-"""Case 7: the machine that divides the limits of the tenants is cut off for some seconds."""
+"""Case 9: the machine that divides the limits of the tenants is cut off for some seconds."""
 
 from __future__ import annotations
 
@@ -29,13 +29,13 @@
 
 HERE = Path(__file__).resolve().parent
 ZONES = (("nbo-a", "nairobi"), ("nbo-b", "nairobi"), ("mba-a", "mombasa"), ("mba-b", "mombasa"))
-NODES = 8
-# Limit of the tenant, and what it sends: 7.5 times its usual, which is the limit / 1.6, as the
-# site file has it (`hot_tenant`, `quota_x`).
-RATE, BURST = 100.0, 10.0
-DEMAND = 7.5 * RATE / 1.6
+NODES = 6
+# Limit of the tenant, and what it sends: far more than its limit all the time, as after a change of
+# the configuration of the kind `quota down`.
+RATE, BURST = 80.0, 10.0
+DEMAND = 375.0
 # Share of the tenant's requests that begin on the machine that is cut off.
-SHARE = 0.6
+SHARE = 0.7
 WINDOW_S, OVER, SLACK = 5.0, 0.1, 20.0
 BOUNDS = {
     "DrainS": "3000",
