Let only the first divider of a fleet start with an empty ledger

Cause: a divider started with an empty ledger if the setting first_start was true and it had not divided before. The setting stays true for the life of the processes that founded the fleet, so every new divider among them skipped the recovery. Ruled out: grants after the lease of the old divider may have ended, and shares used past their lease; both have tests.

Evidence: the new test fails in all four cases with the rule of: a second divider, a store from an older copy, a lost reply, a first divider that was restarted. divider_changed now logs hosts_to_report, without which the log could not tell the hypotheses apart.

Change: the first term creates a key without a lease in the store, and only its creator starts without waiting for reports. A view of the members cannot tell, because an earlier divider may have been cut off from this node. No term begins before the key is certain. This costs one write for each process that becomes the divider.

--- a/jaypost/allotments/divider.py
+++ b/jaypost/allotments/divider.py
@@ -18,6 +18,7 @@
 from jaypost.logs import EventName
 from jaypost.messages import AllotmentReply, AllotmentRequest
 from jaypost.store import (
+    Conflict,
     DeleteOutcome,
     GrantOutcome,
     LeaseExpired,
@@ -31,6 +32,8 @@
 log = structlog.get_logger(__name__)
 
 DIVIDER_KEY = "allotments/divider"
+# Exists from the first term of a fleet on, without a lease.
+FIRST_TERM_KEY = "allotments/first-term"
 LEASE_TTL_S = 3.0
 # Interval between two renewals of the lease, or attempts to get it.
 RENEWAL_S = 0.8
@@ -80,7 +83,7 @@
     publish_term : callable
         Tells all hosts the term of this divider; 0 when it does not divide any more.
     first_start : bool
-        Whether the fleet starts for the first time, so that no host holds anything.
+        Whether the fleet starts for the first time, so that there may have been no divider yet.
     clock : callable
         Time in seconds, suspended time included.
     sleep : callable
@@ -107,7 +110,8 @@
         self._limits = limits
         self._hosts = hosts
         self._publish_term = publish_term
-        self._first_start = first_start
+        self._may_be_first = first_start
+        self._is_marked = False
         self._clock = clock
         self._sleep = sleep
         self._task: asyncio.Task[None] | None = None
@@ -141,6 +145,8 @@
 
     def forget_lease(self) -> None:
         """End the term: the store has come back from an older copy, without the lease."""
+        # The copy may be older than the first term.
+        self._may_be_first = self._is_marked = False
         if self._lease_id is not None:
             self._end_term()
 
@@ -170,7 +176,11 @@
         stored = await self._store.put(DIVIDER_KEY, self._node_id.encode(), 0, granted.lease_id)
         if not isinstance(stored, Stored):
             return  # another node divides, or the lease ends by itself
-        hosts = () if self._first_start and not self.term else self._hosts()
+        is_first = await self._mark_term()
+        if is_first is None:
+            await self._store.delete(DIVIDER_KEY, stored.revision)
+            return
+        hosts = () if is_first else tuple(self._hosts())
         self._lease_id, self.term = granted.lease_id, stored.revision
         self._valid_until = sent_at + LEASE_TTL_S
         self._ledger = ShareLedger(hosts, self._clock())
@@ -180,12 +190,33 @@
             node=self._node_id,
             divides=True,
             term=self.term,
+            hosts_to_report=len(hosts),
             limits=len(rates),
             lowest=min(rates, default=0.0),
             total=sum(rates),
         )
         self._publish_term(self.term)
 
+    async def _mark_term(self) -> bool | None:
+        """Write to the store that the fleet has had a divider.
+
+        Only the store can tell whether there was one before: an earlier divider may have been cut
+        off from this node.
+
+        Returns
+        -------
+        bool or None
+            Whether this is the first term, in which no host holds a share; None if it is not
+            certain that the store has the mark, so that no term may begin.
+        """
+        if self._is_marked:
+            return False
+        marked = await self._store.put(FIRST_TERM_KEY, self._node_id.encode(), 0)
+        is_first = self._may_be_first and isinstance(marked, Stored)
+        self._may_be_first = False
+        self._is_marked = isinstance(marked, Stored | Conflict)
+        return is_first if self._is_marked else None
+
     async def _renew(self) -> None:
         assert self._lease_id is not None
         sent_at = self._clock()
--- a/tests/allotments/test_divider.py
+++ b/tests/allotments/test_divider.py
@@ -11,7 +11,7 @@
 import pytest
 
 from jaypost.allotments.buckets import ShareBuckets, Taken
-from jaypost.allotments.divider import LEASE_TTL_S, Divider
+from jaypost.allotments.divider import FIRST_TERM_KEY, LEASE_TTL_S, Divider
 from jaypost.allotments.holder import LONGEST_WAIT_S, ShareHolder
 from jaypost.allotments.shares import LEASE_S, Demand
 from jaypost.messages import AllotmentReply, AllotmentRequest
@@ -41,10 +41,12 @@
 
 @dataclass
 class LeaseStore:
-    """One key under a lease; the store may be away, with leases that go on or pause."""
+    """One key under a lease, and keys without one; the store may be away."""
 
     revision: int = 0
     owner: str = ""
+    kept_keys: set[str] = field(default_factory=set)
+    loses_reply_for: str = ""
     expires_at_by_lease: dict[str, float] = field(default_factory=dict)
     is_away: bool = False
     raises: bool = False
@@ -67,10 +69,17 @@
     ) -> Stored | Conflict | StoreFailed:
         if self.is_away:
             return StoreFailed("away", Effect.UNKNOWN)
+        if lease_id is None:
+            assert if_revision == 0
+            if key in self.kept_keys:
+                return Conflict(self.revision)
+            self.kept_keys.add(key)
+            if key == self.loses_reply_for:
+                return StoreFailed("lost", Effect.UNKNOWN)
+            return Stored(self.revision)
         self._expire()
         if self.owner:
             return Conflict(self.revision)
-        assert lease_id is not None
         self.owner, self.revision = lease_id, self.revision + 1
         return Stored(self.revision)
 
@@ -97,6 +106,7 @@
     name: str
     is_candidate: bool = True
     may_continue: bool = True
+    first_start: bool = False
     term: int = 0
 
     def __post_init__(self) -> None:
@@ -108,6 +118,7 @@
             lambda: LIMITS,
             lambda: ("a", "b"),
             self.publish,
+            first_start=self.first_start,
             clock=now,
         )
 
@@ -193,6 +204,41 @@
         assert two.rate_for("a", 10.0, held=10.0) == pytest.approx(10.0)
 
 
+@pytest.mark.parametrize(
+    ("first_starts", "loses_reply", "is_older_copy", "first_has_all"),
+    [
+        pytest.param((True, True), False, False, True, id="second divider since the first start"),
+        pytest.param((True, True), False, True, True, id="store that came back without the key"),
+        pytest.param((True, True), True, False, False, id="lost reply of the store"),
+        pytest.param((False, True), False, False, False, id="first divider of a restarted node"),
+    ],
+)
+async def test_divider_does_not_lease_the_shares_of_an_earlier_one_again(
+    first_starts: tuple[bool, bool], loses_reply: bool, is_older_copy: bool, first_has_all: bool
+) -> None:
+    """Guards against a host that is cut off and uses its share beside the new ones (QUOTA)."""
+    store = LeaseStore(loses_reply_for=FIRST_TERM_KEY if loses_reply else "")
+    one = Candidate(store, "one", first_start=first_starts[0])
+    two = Candidate(store, "two", is_candidate=False, first_start=first_starts[1])
+    async with running(one, two):
+        granted = one.rate_for("a")
+        assert granted is not None and (granted > 0.0) is first_has_all
+        if not first_has_all:
+            await asyncio.sleep(LEASE_S)
+        held = one.rate_for("a") or 0.0
+        assert held > 0.0
+        one.is_candidate = False
+        one.divider._lease_id = None  # cut off: the lease in the store is not renewed
+        two.is_candidate = True
+        if is_older_copy:
+            store.kept_keys.clear()
+            two.divider.forget_lease()
+        await asyncio.sleep(LEASE_TTL_S + 1.0)
+        assert two.term > one.term
+        granted = two.rate_for("b")
+        assert granted is not None and held + granted <= LEASED + TOLERANCE
+
+
 @dataclass
 class Directory:
     """The divider as a host reaches it."""
