Forget an earlier start of a target when it starts again under its id

Targets that are withdrawn and start again under their ids get no request: 180 of 180 requests get 421, for as long as the node beside the target lives.

Cause: a withdrawn target stays in the node's record as gone, behind the present ones, and a new start of the same id did not remove it. The egress indexes the list by id, so the old entry replaced the new one. Ruled out: a late announcement (no log line), peers that keep the old start (requests reach the node).

Evidence: four new rows of the table of announcements fail on; with the changes of egress and admission taken out, two tests of rates fail.

Change: a later start removes the withdrawn entry, and an assertion keeps the published ids unique. Of the same class: a late announcement of a drain undid a withdrawal, a response of an earlier start drained the later one, and rate and breaker of an earlier start bound the later one.

--- a/jaypost/admission.py
+++ b/jaypost/admission.py
@@ -888,8 +888,10 @@
         return Refused(item.message.ticket, kind, queue.load)
 
     def _update_target(self, queue: _TargetQueue, target: Target, now: float) -> list[Decision]:
-        queue.target = target
         queue.now = max(queue.now, now)
+        if target.incarnation > queue.target.incarnation:
+            queue.set_named_rate(None)  # an earlier start named it
+        queue.target = target
         if target.state is not TargetState.GONE:
             return list(self._start_queued(queue, now))
         decisions: list[Decision] = []
--- a/jaypost/announcements.py
+++ b/jaypost/announcements.py
@@ -13,6 +13,7 @@
 
 from jaypost.errors import ErrorKind
 from jaypost.events import EventLog, wall_clock_ms
+from jaypost.invariants import check
 from jaypost.logs import EventName
 from jaypost.records import LOOPBACK, Address, Target, TargetState
 from jaypost.settings import Settings, parse_address
@@ -115,9 +116,10 @@
 
 @dataclass(frozen=True, slots=True)
 class ReportLeaving:
-    """A target said in a response that it leaves."""
+    """A target said in a response that it leaves; `incarnation` is the start that said so."""
 
     target_id: str
+    incarnation: int
     now: float
 
 
@@ -200,7 +202,8 @@
     ) -> None:
         self.apply_settings(settings)
         self._incarnation_by_departed_id: dict[str, int] = {}
-        self._withdrawn: tuple[Target, ...] = ()
+        # Withdrawn targets that have not started again since, in the order of their withdrawal.
+        self._withdrawn_by_id: dict[str, Target] = {}
         self._on_targets = on_targets
         # Called with the id of a target for each of its announcements that is not late or refused.
         self.on_target_alive: Callable[[str], None] = lambda target_id: None
@@ -275,6 +278,7 @@
         if target.state is TargetState.DRAINING:
             self._add_departure(target.target_id, target.incarnation)
         target = self._as_published(target)
+        self._withdrawn_by_id.pop(target.target_id, None)
         previous = self._entry_by_id.get(target.target_id)
         self._entry_by_id[target.target_id] = _Entry(target, message.now, announced.sequence)
         if previous is None:
@@ -295,8 +299,7 @@
             return TargetsListed(self._published)
         self._add_departure(message.target_id, entry.target.incarnation)
         if entry.target.incarnation:
-            gone = replace(entry.target, state=TargetState.GONE)
-            self._withdrawn = (*self._withdrawn, gone)[-MAX_WITHDRAWN_TARGETS:]
+            self._add_withdrawn(replace(entry.target, state=TargetState.GONE))
         self._record(EventName.TARGET_GONE, entry.target, reason="withdrawn")
         self._publish()
         return TargetsListed(self._published)
@@ -304,7 +307,11 @@
     @handle.register
     def _leaving(self, message: ReportLeaving) -> Reply:
         entry = self._entry_by_id.get(message.target_id)
-        if entry is not None and entry.target.state is not TargetState.DRAINING:
+        if (
+            entry is not None
+            and entry.target.incarnation <= message.incarnation
+            and entry.target.state is not TargetState.DRAINING
+        ):
             target = replace(entry.target, state=TargetState.DRAINING)
             self._add_departure(target.target_id, target.incarnation)
             self._entry_by_id[message.target_id] = replace(entry, target=target)
@@ -370,6 +377,12 @@
         while len(self._incarnation_by_departed_id) > MAX_TARGETS:
             del self._incarnation_by_departed_id[next(iter(self._incarnation_by_departed_id))]
 
+    def _add_withdrawn(self, gone: Target) -> None:
+        self._withdrawn_by_id.pop(gone.target_id, None)
+        self._withdrawn_by_id[gone.target_id] = gone
+        while len(self._withdrawn_by_id) > MAX_WITHDRAWN_TARGETS:
+            del self._withdrawn_by_id[next(iter(self._withdrawn_by_id))]
+
     def _has_departed(self, target: Target) -> bool:
         departed = self._incarnation_by_departed_id.get(target.target_id, 0)
         return 0 < target.incarnation <= departed
@@ -381,6 +394,9 @@
             return False
         entry = self._entry_by_id.get(target.target_id)
         if entry is None:
+            withdrawn = self._withdrawn_by_id.get(target.target_id)
+            if withdrawn is not None and target.incarnation <= withdrawn.incarnation:
+                return True
             # A departed target may still announce that it drains; any other announcement is late.
             if self._has_departed(target) and target.state is not TargetState.DRAINING:
                 return True
@@ -422,7 +438,9 @@
 
     def _publish(self) -> None:
         present = tuple(self._entry_by_id[key].target for key in sorted(self._entry_by_id))
-        targets = present + self._withdrawn
+        targets = present + tuple(self._withdrawn_by_id.values())
+        ids = {target.target_id for target in targets}
+        check(len(ids) == len(targets), "target_published_once", targets=targets)
         if targets != self._published:
             self._published = targets
             self._on_targets(targets)
--- a/jaypost/daemon.py
+++ b/jaypost/daemon.py
@@ -486,10 +486,12 @@
             self.events.record(EventName.DEPARTURES_ADOPTED, targets=target_ids)
             self.announcements.handle(AdoptDepartures(departures))
 
-    def _on_target_leaving(self, target_id: str) -> None:
+    def _on_target_leaving(self, target: Target) -> None:
         """Publish a target as draining that said in a response that it leaves."""
         known = self.announcements.departures
-        self.announcements.handle(ReportLeaving(target_id, time.monotonic()))
+        self.announcements.handle(
+            ReportLeaving(target.target_id, target.incarnation, time.monotonic())
+        )
         if self.announcements.departures != known:
             self._spawn(self._keep_departures())
 
--- a/jaypost/egress.py
+++ b/jaypost/egress.py
@@ -120,8 +120,8 @@
         self.in_flight = InFlight()
         self.refuses_calls = False
         self._drain_ends_at = float("inf")
-        # Called with the id of a target for each response in which it says that it leaves.
-        self.on_target_leaving: Callable[[str], None] = lambda target_id: None
+        # Called with a target for each response in which it says that it leaves.
+        self.on_target_leaving: Callable[[Target], None] = lambda target: None
         # Tells whether a roll-out lets no request go to a target.
         self.excludes: Callable[[Target], bool] = lambda target: False
         self.target_by_id: dict[str, Target] = {}
@@ -171,10 +171,14 @@
     def _apply_targets(self) -> None:
         now = self.clock()
         effective = tuple(self._effective_target(target, now) for target in self._announced_targets)
+        restarted_ids = {t.target_id for t in effective if self._has_started_again(t)}
         self.target_by_id = {target.target_id: target for target in effective}
-        self.breakers.retain(self.target_by_id)
-        self.rates.retain(self.target_by_id)
-        self.naming_target_ids &= self.target_by_id.keys()
+        known_ids = self.target_by_id.keys() - restarted_ids
+        self.breakers.retain(known_ids)
+        self.rates.retain(known_ids)
+        for target_id in restarted_ids:
+            self.rates.heard(target_id)  # other nodes know the rate of the earlier start
+        self.naming_target_ids &= known_ids
         self.own_slots_by_service = {}
         for target in effective:
             if target.state is TargetState.READY:
@@ -185,6 +189,11 @@
             if target.state is TargetState.DRAINING:
                 self._refuse_queued_calls(target.target_id, ErrorKind.DRAINING)
 
+    def _has_started_again(self, target: Target) -> bool:
+        """Return whether what is known of a target is of an earlier start."""
+        known = self.target_by_id.get(target.target_id)
+        return known is not None and known.incarnation < target.incarnation
+
     def _refuse_queued_calls(self, target_id: str, kind: ErrorKind) -> None:
         for ticket in tuple(self.queued_tickets):
             call = self.call_by_ticket.get(ticket)
@@ -213,10 +222,13 @@
         if self.breakers.record_alive(target_id):
             log.info(EventName.TARGET_UP, target=target_id)
 
-    def note_rate(self, target_id: str, rate: float | None) -> None:
+    def note_rate(self, target: Target, rate: float | None) -> None:
         """Note the rate that a target names in a response, None if it names none."""
-        if self.rates.note(target_id, rate):
-            self.handle(ReportRate(target_id, rate, self.clock()))
+        known = self.target_by_id.get(target.target_id)
+        if known is not None and known.incarnation > target.incarnation:
+            return  # an earlier start has responded late
+        if self.rates.note(target.target_id, rate):
+            self.handle(ReportRate(target.target_id, rate, self.clock()))
 
     def load(self, target_id: str) -> Load:
         """Return the load to report for a target; a target that is down has no free slots."""
--- a/jaypost/egress_calls.py
+++ b/jaypost/egress_calls.py
@@ -243,7 +243,7 @@
             return
         known_rate = self._head.control.get(RATE)
         if known_rate is not None and not egress.rates.has_heard(self.target_id):
-            egress.note_rate(self.target_id, parse_rate(known_rate))
+            egress.note_rate(self._target, parse_rate(known_rate))
         query = LimitQuery(
             self._row,
             egress.own_slots_by_service.get(self._target.service, 0),
@@ -482,7 +482,7 @@
         rate = self._egress.rates.rate_by_id.get(self.target_id)
         is_leaving = head.control.get(LEAVING) == b"1"
         if is_leaving:
-            self._egress.on_target_leaving(self.target_id)
+            self._egress.on_target_leaving(self._target)
         if self._refused_kind is not None:
             return
         control = {
@@ -510,11 +510,12 @@
 
     def _note_rate(self, head: ResponseHead) -> None:
         """Note the rate that the target names; only a request that was run tells that it ended."""
+        assert self._target is not None
         self._egress.rates.heard(self.target_id)
         named = head.control.get(RATE)
         rate = parse_rate(named) if named is not None else None
         if rate is not None or (named is None and self._refused_kind is None):
-            self._egress.note_rate(self.target_id, rate)
+            self._egress.note_rate(self._target, rate)
 
     def _belongs_to_call(self, head: ResponseHead, request_id: bytes) -> bool:
         """Tell whether a response may be taken for the one to the request with `request_id`.
--- a/tests/test_announcements.py
+++ b/tests/test_announcements.py
@@ -126,6 +126,26 @@
             {},
             id="a withdrawal of an unknown target covers earlier starts",
         ),
+        pytest.param(
+            [announcement_of(5, 1), None, announcement_of(6, 1)],
+            {"t1": "ready"},
+            id="a later start replaces a withdrawn one",
+        ),
+        pytest.param(
+            [announcement_of(5, 1), None, announcement_of(6, 1), announcement_of(5, 2)],
+            {"t1": "ready"},
+            id="a late announcement of a withdrawn start does not withdraw the later one",
+        ),
+        pytest.param(
+            [announcement_of(5, 1), None, announcement_of(6, 1), None],
+            {"t1": "gone"},
+            id="a later start is withdrawn as well",
+        ),
+        pytest.param(
+            [announcement_of(5, 1), None, announcement_of(5, 2, "draining")],
+            {"t1": "gone"},
+            id="a late announcement of a drain does not undo a withdrawal",
+        ),
         pytest.param(
             [announcement_of(5, 1, target_id="old"), announcement_of(6, 1)],
             {"t1": "ready"},
@@ -139,7 +159,10 @@
     ],
 )
 def test_announcements_are_ordered_by_start_and_sequence(host, announced, expected):
-    """Guards against a delayed announcement that undoes a drain or a withdrawal (P7)."""
+    """Guards against a delayed announcement that undoes a drain or a withdrawal (P7).
+
+    Also guards against a target that starts again under its id and gets no request (CONFIG).
+    """
     for now, item in enumerate(announced):
         if item is None:
             host.registry.handle(a.Withdraw("t1", now / 10))
@@ -147,7 +170,7 @@
         target_id, born, sequence, state = item
         host.announce(target_id, now / 10, born=born, sequence=sequence, state=state)
     published = host.published[-1] if host.published else ()
-    assert {t.target_id: t.state.value for t in published} == expected
+    assert [(t.target_id, t.state.value) for t in published] == list(expected.items())
 
 
 def test_departures_are_adopted_after_a_restart(host):
--- a/tests/test_leaving_targets.py
+++ b/tests/test_leaving_targets.py
@@ -90,9 +90,20 @@
     body = b'{"service": "orders", "slots": 4, "state": "ready", "port": 9000, "born": 7}'
     announcements.handle(Announce("t", body, 0.0))
     for _ in range(2):
-        announcements.handle(ReportLeaving("t", 0.1))
-    announcements.handle(ReportLeaving("unknown", 0.1))
+        announcements.handle(ReportLeaving("t", 7, 0.1))
+    announcements.handle(ReportLeaving("unknown", 7, 0.1))
     assert [targets[0].state for targets in published] == [TargetState.READY, TargetState.DRAINING]
     assert announcements.departures == (Departure("t", 7),)
     announcements.handle(Announce("t", body, 0.2))
     assert announcements.targets[0].state is TargetState.DRAINING
+
+
+def test_late_response_of_an_earlier_start_does_not_drain_the_later_one() -> None:
+    """Guards against a target that starts again under its id and gets no request (CONFIG)."""
+    published: list[tuple[Target, ...]] = []
+    announcements = Announcements(load_settings(), published.append, EventLog())
+    body = b'{"service": "orders", "slots": 4, "state": "ready", "port": 9000, "born": 8}'
+    announcements.handle(Announce("t", body, 0.0))
+    announcements.handle(ReportLeaving("t", 7, 0.1))
+    assert [targets[0].state for targets in published] == [TargetState.READY]
+    assert announcements.departures == ()
--- a/tests/test_target_rates.py
+++ b/tests/test_target_rates.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import time
+from dataclasses import replace
 
 import pytest
 
@@ -18,6 +19,7 @@
     SetTargets,
     Tick,
 )
+from jaypost.breakers import FAILURES_TO_OPEN
 from jaypost.calls import parse_rate
 from jaypost.errors import RunState
 from jaypost.records import Address, Row, Target, TargetState
@@ -132,6 +134,37 @@
     assert demand.most_in_window(lapsed_at) > 0.9 * 100.0 * WINDOW_S
 
 
+def test_rate_of_an_earlier_start_does_not_bind_the_later_one() -> None:
+    """Guards against a target that starts again under its id and gets few requests."""
+    demand = Demand(may_queue=False)
+    demand.name_rate(0.4)
+    demand.run(per_s=100.0, for_s=2.0)
+    restarted = Target("t", "orders", 9000, 12, TargetState.READY, 8)
+    demand.decide(SetTargets((restarted,), demand.now))
+    restarted_at = demand.now
+    demand.run(per_s=100.0, for_s=4.0)
+    assert demand.most_in_window(restarted_at) > 0.9 * 100.0 * WINDOW_S
+
+
+async def test_egress_keeps_nothing_of_an_earlier_start() -> None:
+    """Guards against a target that starts again under its id and counts as down or limited."""
+    async with running_mesh("httptools", (0,), row=Row("orders")) as mesh:
+        egress = mesh.nodes[0].egress
+        egress.admission = Admission()
+        first = Target("t", "orders", 9000, 4, TargetState.READY, 7)
+        gone, second = replace(first, state=TargetState.GONE), replace(first, incarnation=8)
+        egress.set_targets((first,))
+        egress.note_rate(first, 0.0)
+        for _ in range(FAILURES_TO_OPEN):
+            egress.record_broken_connection("t")
+        egress.set_targets((gone,))
+        egress.set_targets((second,))
+        egress.note_rate(first, 0.0)  # a late response
+        assert (egress.rates.rate_by_id, egress.breakers.is_open("t")) == ({}, False)
+        egress.note_rate(second, 5.0)
+        assert egress.rates.rate_by_id == {"t": 5.0}
+
+
 @pytest.mark.parametrize("rates", [(20.0, 10.0), (10.0, 20.0), (20.0, None, 20.0)])
 def test_changes_of_the_rate_give_no_additional_requests(rates: tuple[float | None, ...]) -> None:
     """Guards against a target that names its rate anew in each response and is overrun by that."""
