Notice callers that leave while their connection is not read

Cause: a body above 64 KB is not read while it waits for a target. An event loop reports the end of a connection when it reads it, behind the bytes that arrived before, so nobody hears of the close. Ruled out: a close that is seen without removing the request from the queue, and a cancellation that does not reach the other host; bodies that are read in one piece are cancelled on both.

A close cancels the requests of the connection. Buffering the bodies in place of this would need a bound for the process, beyond which the fault is back.

Of the same class: behind a further request that waits for an earlier response, the earlier one ran on for a caller that had left.

--- a/jaypost/connections.py
+++ b/jaypost/connections.py
@@ -27,6 +27,7 @@
     server_codec,
 )
 from jaypost.errors import ErrorKind
+from jaypost.hangups import HangupWatch
 from jaypost.invariants import check
 from jaypost.logs import EventName
 from jaypost.records import Address
@@ -243,6 +244,7 @@
     def connection_lost(self, exc: Exception | None) -> None:
         """Cancel the calls of the connection."""
         self._transport = None
+        self._server.hangups.remove(self)
         self._server.connection_closed(self)
         self._stop_rate_timer()
         self._deferred_events.clear()
@@ -282,6 +284,21 @@
         """Note that few bytes wait for the link."""
         self._set_free(BufferPlace.LINK)
 
+    # HangupOwner
+
+    def on_hangup(self) -> None:
+        """Cancel the calls of the connection: its other side closed it while it was not read."""
+        transport = self._transport
+        if transport is None or self._lingering:
+            return
+        requests = len(self._exchanges)
+        log.info(EventName.HANGUP_NOTICED, requests=requests, deferred=bool(self._deferred_events))
+        self._closing = True
+        self._stop_rate_timer()
+        self._deferred_events.clear()
+        self._cancel_exchanges()
+        transport.close()
+
     def _set_full(self, place: BufferPlace) -> None:
         """Pause the sender of the response that is being written, until no place is full."""
         self._full_places.add(place)
@@ -508,8 +525,11 @@
         body_must_wait = reading is not None and reading.body_paused and not reading.is_ended
         if self._deferred_events or body_must_wait:
             self._transport.pause_reading()
+            sock = self._transport.get_extra_info("socket")
+            self._server.hangups.add(self, sock.fileno())
         else:
             self._transport.resume_reading()
+            self._server.hangups.remove(self)
 
     def advance(self) -> None:
         """Remove completed exchanges, write the next response and decode further requests."""
@@ -580,6 +600,7 @@
         If more input may follow, it is read and dropped for `LINGER_S` before the close.
         """
         self._lingering = True
+        self._server.hangups.remove(self)
         self._stop_rate_timer()
         self._cancel_exchanges()
         transport = self._transport
@@ -822,6 +843,7 @@
         self.cut_by_reason: Counter[CutReason] = Counter()
         # Connections without a request in progress, the longest idle first.
         self._idle: dict[ServerConnection, None] = {}
+        self.hangups = HangupWatch()
         self.draining = False
 
     async def start(self) -> Address:
@@ -926,6 +948,7 @@
         for connection in tuple(self.connections):
             connection.close()
         await self._wait_closed()
+        self.hangups.close()
 
     async def _wait_closed(self) -> None:
         while self.connections:
--- a/jaypost/logs.py
+++ b/jaypost/logs.py
@@ -83,6 +83,7 @@
     SILENT_PEER = "silent_peer"
     CONNECT_FAILED = "connect_failed"
     CONNECTION_LIMIT = "connection_limit"
+    HANGUP_NOTICED = "hangup_noticed"
     CROSSED_RESPONSE = "crossed_response"
     UNSOLICITED_RESPONSE = "unsolicited_response"
     BAD_RESPONSE = "bad_response"
--- a/tests/request_path/conftest.py
+++ b/tests/request_path/conftest.py
@@ -9,6 +9,7 @@
 import pytest
 import pytest_asyncio
 
+from jaypost import hangups
 from tests.request_path.memory_loop import MemoryLoop, MemoryLoopPolicy
 
 
@@ -23,4 +24,5 @@
     running = asyncio.get_running_loop()
     assert isinstance(running, MemoryLoop)
     monkeypatch.setattr(time, "monotonic", running.time)
+    monkeypatch.setattr(hangups, "poll_hangups", running.poll_hangups)
     yield running
--- a/tests/request_path/memory_loop.py
+++ b/tests/request_path/memory_loop.py
@@ -10,7 +10,7 @@
 import asyncio
 import itertools
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Collection
 from typing import Any
 
 from tests.virtual_time import VirtualTimeLoop
@@ -20,6 +20,8 @@
 # Largest number of bytes in one read.
 MAX_READ_BYTES = 262_144
 FIRST_PORT = 20_000
+# Above the descriptors of the kernel, which the process does not reach.
+FIRST_DESCRIPTOR = 1_000_000
 
 Address = tuple[str, int]
 ProtocolFactory = Callable[[], asyncio.BaseProtocol]
@@ -28,8 +30,12 @@
 class MemorySocket:
     """The part of a socket that protocols ask for."""
 
-    def __init__(self, address: Address) -> None:
+    def __init__(self, address: Address, descriptor: int = -1) -> None:
         self._address = address
+        self._descriptor = descriptor
+
+    def fileno(self) -> int:
+        return self._descriptor
 
     def getsockname(self) -> Address:
         return self._address
@@ -50,7 +56,9 @@
         super().__init__()
         self._loop = loop
         self._protocol: Any = protocol
-        self._socket = MemorySocket(address)
+        descriptor = next(loop.descriptors)
+        loop.transport_by_descriptor[descriptor] = self
+        self._socket = MemorySocket(address, descriptor)
         # Bytes that were written and are not yet in the buffer of the other side.
         self._unsent = bytearray()
         # Bytes that arrived and were not read.
@@ -153,6 +161,11 @@
             if not self._protocol.eof_received():
                 self.close()
 
+    @property
+    def is_hung_up(self) -> bool:
+        """Whether the other side has closed the connection, also behind unread bytes."""
+        return self._eof_arrived or self._reset_arrived or self._lost
+
     # closing
 
     def is_closing(self) -> bool:
@@ -231,8 +244,14 @@
         self.capacity_bytes = 262_144
         self.reads = 0
         self.factory_by_address: dict[Address, ProtocolFactory] = {}
+        self.transport_by_descriptor: dict[int, MemoryTransport] = {}
+        self.descriptors = itertools.count(FIRST_DESCRIPTOR)
         self._ports = itertools.count(FIRST_PORT)
 
+    def poll_hangups(self, descriptors: Collection[int]) -> frozenset[int]:
+        """Return the descriptors of the connections that their other side has closed."""
+        return frozenset(i for i in descriptors if self.transport_by_descriptor[i].is_hung_up)
+
     def draw_read_size(self, available: int) -> int:
         """Return how many of the bytes that have arrived are read at once."""
         if not self.max_read_bytes:
--- a/tests/test_server_connections.py
+++ b/tests/test_server_connections.py
@@ -21,6 +21,7 @@
     ServerConnection,
 )
 from jaypost.errors import ErrorKind
+from jaypost.hangups import HangupWatch
 from jaypost.records import Address
 from jaypost.uplink import Uplink
 from standins.node_settings import node_settings
@@ -95,6 +96,7 @@
             lambda head: head.method == "GET",
         )
         self.server = CallServer(self.settings, Address("127.0.0.1", 0), handlers, Uplink())
+        self.server.hangups = HangupWatch(lambda descriptors: frozenset())
         self.connection = ServerConnection(self.settings, self.server, handlers)
         self.transport = FakeTransport(SimulatedClock())
         self.connection.connection_made(self.transport)
