Keep an acknowledged departure in the store and in the node's record

Cause: the acknowledgement needs one copy, in the store or at a peer, and the other one was never tried again. The copy at a peer was a target that is gone or drains, in a record that the restarted node ignored when it had left, because it drains its targets itself then. Ruled out for this case: an acknowledgement without any copy; but departures of unknown and of adopted targets were in no record, and counted as kept by peers.

Change: the record of a node has its newest departures, and a restarted node adopts them whatever state the record is in. Departures writes to the store until it has them all, with a condition on the revision, so that a late write or one before the first read removes nothing.

--- a/jaypost/announcements.py
+++ b/jaypost/announcements.py
@@ -15,7 +15,7 @@
 from jaypost.events import EventLog, wall_clock_ms
 from jaypost.invariants import check
 from jaypost.logs import EventName
-from jaypost.records import LOOPBACK, Address, Target, TargetState
+from jaypost.records import LOOPBACK, Address, Departure, Target, TargetState
 from jaypost.settings import Settings, parse_address
 from jaypost.table import SERVICE_PATTERN
 
@@ -85,18 +85,6 @@
     sequence: int
 
 
-@dataclass(frozen=True, slots=True)
-class Departure:
-    """A target that drains or is gone.
-
-    `incarnation` is its start time in milliseconds since 1970. Announcements of the same or an
-    earlier start cannot make the target ready again.
-    """
-
-    target_id: str
-    incarnation: int
-
-
 @dataclass(frozen=True, slots=True)
 class Announce:
     """A target announces itself or renews its announcement; `body` is the JSON text it sent."""
@@ -207,6 +195,8 @@
         self._on_targets = on_targets
         # Called with the id of a target for each of its announcements that is not late or refused.
         self.on_target_alive: Callable[[str], None] = lambda target_id: None
+        # Called when a target has departed, before the targets are published.
+        self.on_departure: Callable[[], None] = lambda: None
         self._events = events
         self._entry_by_id: dict[str, _Entry] = {}
         self._published: tuple[Target, ...] = ()
@@ -363,7 +353,7 @@
 
     @property
     def departures(self) -> tuple[Departure, ...]:
-        """Departures that this node has acknowledged or adopted."""
+        """Departures that this node has acknowledged or adopted, the newest last."""
         return tuple(
             Departure(target_id, incarnation)
             for target_id, incarnation in self._incarnation_by_departed_id.items()
@@ -372,10 +362,13 @@
     def _add_departure(self, target_id: str, incarnation: int) -> None:
         if not incarnation:
             return  # a target without a start time may announce itself as ready again
-        known = self._incarnation_by_departed_id.pop(target_id, 0)
-        self._incarnation_by_departed_id[target_id] = max(known, incarnation)
+        if incarnation <= self._incarnation_by_departed_id.get(target_id, 0):
+            return
+        self._incarnation_by_departed_id.pop(target_id, None)
+        self._incarnation_by_departed_id[target_id] = incarnation
         while len(self._incarnation_by_departed_id) > MAX_TARGETS:
             del self._incarnation_by_departed_id[next(iter(self._incarnation_by_departed_id))]
+        self.on_departure()
 
     def _add_withdrawn(self, gone: Target) -> None:
         self._withdrawn_by_id.pop(gone.target_id, None)
--- a/jaypost/daemon.py
+++ b/jaypost/daemon.py
@@ -24,13 +24,7 @@
 from jaypost.admin import AdminServer, FleetReport, Readiness
 from jaypost.admission import Admission
 from jaypost.allotments.node import NodeAllotments
-from jaypost.announcements import (
-    AdoptDepartures,
-    Announcements,
-    Departure,
-    DrainAll,
-    ReportLeaving,
-)
+from jaypost.announcements import AdoptDepartures, Announcements, DrainAll, ReportLeaving
 from jaypost.calls import CallEnded
 from jaypost.claims import Claims
 from jaypost.config import ConfigHolder, RefusedVersion, Stale
@@ -53,6 +47,7 @@
 from jaypost.readers import ReadFailed, TableReader
 from jaypost.records import (
     Address,
+    Departure,
     NodeRecord,
     NodeState,
     Snapshot,
@@ -103,6 +98,8 @@
 # Time over which the nodes spread the writes of what a store has lost that came back from an older
 # copy.
 REWRITE_SPREAD_S = 1.0
+# Newest departures that the own record has for other nodes; the store has all of them.
+MAX_RECORD_DEPARTURES = 16
 # Timeout of each of the last two steps, notifying the peers and closing the components. Both may
 # wait for a peer that is cut off and never answers.
 SHUTDOWN_STEP_TIMEOUT_S = 0.3
@@ -228,6 +225,8 @@
         await self.ingress.start()
         await self._start_membership(peer_address)
         self.egress.on_target_leaving = self._on_target_leaving
+        self.announcements.on_departure = self._on_departure
+        self.departures.start()
         await self.admin.start()  # its replies need the membership view
         self._spawn(self._become_ready())
         self._spawn(self._do_periodic_work())
@@ -381,6 +380,7 @@
         await self.gossip.close()
         await self.admin.close()
         await self.announcements.close()
+        await self.departures.close()
         await self.store.close()
 
     def _spawn(self, work: Coroutine[Any, Any, None]) -> None:
@@ -469,19 +469,28 @@
             await asyncio.sleep(self.settings.store_backoff_min_s)
             departures = await self.departures.load()
         self._adopt_departures(departures)
+        if self.announcements.departures:
+            await self._persist_departures()
+
+    def _on_departure(self) -> None:
+        self.gossip.publish(departures=self.announcements.departures[-MAX_RECORD_DEPARTURES:])
 
     def _on_previous_record(self, record: NodeRecord) -> None:
         """Adopt the departures in the record that a peer had of this node before it joined."""
-        departed_states = (TargetState.DRAINING, TargetState.GONE)
-        departed = [target for target in record.targets if target.state in departed_states]
+        departed_states = {TargetState.DRAINING, TargetState.GONE}
         if record.state in (NodeState.LEAVING, NodeState.LEFT):
-            departed = []  # the node drained its targets; they did not leave by themselves
+            # The node drained its targets; these did not leave by themselves.
+            departed_states = {TargetState.GONE}
+        departed = [target for target in record.targets if target.state in departed_states]
         self._adopt_departures(
-            tuple(Departure(item.target_id, item.incarnation) for item in departed)
+            (
+                *record.departures,
+                *(Departure(item.target_id, item.incarnation) for item in departed),
+            )
         )
 
     def _adopt_departures(self, departures: tuple[Departure, ...]) -> None:
-        if departures:
+        if not set(departures) <= set(self.announcements.departures):
             target_ids = [item.target_id for item in departures]
             self.events.record(EventName.DEPARTURES_ADOPTED, targets=target_ids)
             self.announcements.handle(AdoptDepartures(departures))
--- a/jaypost/departures.py
+++ b/jaypost/departures.py
@@ -1,21 +1,24 @@
 """Persists the departures of the host's targets beyond the life of this process.
 
 A target whose departure was acknowledged must get no new work, even after a restart of its node.
-A departure is therefore acknowledged only once the store or another node has it.
+A departure is therefore acknowledged only once the store or another node has it. A copy at another
+node lasts as long as the nodes that have it, so that the store gets each departure in the end.
 """
 
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Iterable
 from typing import Protocol
 
 import msgspec
 import structlog
 
-from jaypost.announcements import Departure
+from jaypost.announcements import MAX_TARGETS
 from jaypost.logs import EventName
+from jaypost.records import Departure
 from jaypost.store import (
+    Conflict,
     Found,
     GetOutcome,
     GrantOutcome,
@@ -32,6 +35,12 @@
 DEPARTURE_LEASE_TTL_S = 600.0
 # Shorter than the 1 s that a target waits for the reply to its announcement.
 PERSIST_TIMEOUT_S = 0.8
+# Interval at which a write that failed is tried again.
+STORE_RETRY_S = 1.0
+# As many as a node remembers.
+MAX_STORED_DEPARTURES = MAX_TARGETS
+# A write that meets a conflict is followed by a read and a second write.
+WRITES_PER_TRY = 2
 
 _decoder = msgspec.json.Decoder(tuple[Departure, ...])
 
@@ -75,7 +84,28 @@
         self._key = f"{DEPARTURE_PREFIX}{node_id}"
         self._replicate = replicate
         self._lease_id: str | None = None
+        # Revision of the key as far as known; None before it is read again.
+        self._revision: int | None = 0
+        # Departures that the store had when it was read last.
+        self._read: tuple[Departure, ...] = ()
+        # Departures that the store has, and those that another node has at least.
+        self._stored: frozenset[Departure] = frozenset()
         self._kept: frozenset[Departure] = frozenset()
+        self._wanted: tuple[Departure, ...] = ()
+        self._write_is_due = asyncio.Event()
+        self._task: asyncio.Task[None] | None = None
+
+    def start(self) -> None:
+        """Start the task that repeats writes to the store that failed."""
+        if self._task is None:
+            self._task = asyncio.create_task(self._run())
+
+    async def close(self) -> None:
+        """Stop the task."""
+        task, self._task = self._task, None
+        if task is not None:
+            task.cancel()
+            await asyncio.gather(task, return_exceptions=True)
 
     async def load(self) -> tuple[Departure, ...] | None:
         """Return the departures in the store, or None when the store is not available.
@@ -83,22 +113,26 @@
         A value that cannot be decoded counts as no departures.
         """
         found = await self._store.get(self._key)
-        if isinstance(found, Missing):
-            return ()
-        if not isinstance(found, Found):
+        if not isinstance(found, Found | Missing):
             return None
+        self._revision, self._read = 0, ()
+        if isinstance(found, Found):
+            self._revision, self._read = found.revision, self._decode(found.value)
+        self._stored = frozenset(self._read)
+        self._kept |= self._stored
+        return self._read
+
+    def _decode(self, value: bytes) -> tuple[Departure, ...]:
         try:
-            departures = _decoder.decode(found.value)
+            return _decoder.decode(value)
         except (ValueError, RecursionError) as error:
             log.error(EventName.DEPARTURE_NOT_KEPT, key=self._key, reason=str(error))
             return ()
-        self._kept = frozenset(departures)
-        return departures
 
     def forget_kept(self) -> None:
         """Write the departures again: the store has come back from an older copy."""
-        self._kept = frozenset()
-        self._lease_id = None
+        self._kept = self._stored = frozenset()
+        self._lease_id = self._revision = None
 
     async def persist(self, departures: tuple[Departure, ...]) -> bool:
         """Persist departures in the store or at another node; return whether that succeeded.
@@ -108,11 +142,14 @@
         wanted = frozenset(departures)
         if wanted <= self._kept:
             return True
+        self._wanted = departures
         tasks = {
-            asyncio.create_task(self._write_to_store(departures), name="store"),
+            asyncio.create_task(self._write_to_store(), name="store"),
             asyncio.create_task(self._replicate_to_peers(), name="peers"),
         }
         kept_by = await _first_true(tasks, PERSIST_TIMEOUT_S)
+        if not wanted <= self._stored:
+            self._write_is_due.set()
         if kept_by is None:
             log.warning(EventName.DEPARTURE_NOT_KEPT, departures=len(departures))
             return False
@@ -120,23 +157,53 @@
         log.info(EventName.DEPARTURE_KEPT, by=kept_by, departures=len(departures))
         return True
 
+    async def _run(self) -> None:
+        while True:
+            await self._write_is_due.wait()
+            await asyncio.sleep(STORE_RETRY_S)
+            if frozenset(self._wanted) <= self._stored or await self._write_to_store():
+                self._write_is_due.clear()
+                log.info(EventName.DEPARTURE_KEPT, by="later_store", departures=len(self._wanted))
+
     async def _replicate_to_peers(self) -> bool:
         return await self._replicate()
 
-    async def _write_to_store(self, departures: tuple[Departure, ...]) -> bool:
+    async def _write_to_store(self) -> bool:
+        """Write the wanted departures; return whether the store has them.
+
+        Each write has a condition, so that an earlier one that takes effect late changes nothing.
+        """
         if self._lease_id is None:
             granted = await self._store.grant_lease(DEPARTURE_LEASE_TTL_S)
             if not isinstance(granted, LeaseGranted):
                 return False
             self._lease_id = granted.lease_id
-        value = msgspec.json.encode(departures)
-        stored = await self._store.put(self._key, value, None, self._lease_id)
-        if isinstance(stored, Stored):
-            return True
-        self._lease_id = None  # the lease may have expired
+        for _ in range(WRITES_PER_TRY):
+            if self._revision is None and await self.load() is None:
+                return False
+            departures = _merge((*self._read, *self._wanted))
+            value = msgspec.json.encode(departures)
+            stored = await self._store.put(self._key, value, self._revision, self._lease_id)
+            if isinstance(stored, Stored):
+                self._revision, self._stored = stored.revision, frozenset(departures)
+                return True
+            self._revision = None
+            if not isinstance(stored, Conflict):
+                self._lease_id = None  # it may have expired
+                return False
         return False
 
 
+def _merge(departures: Iterable[Departure]) -> tuple[Departure, ...]:
+    """Return the latest departure of each target, and only the last ones of too many targets."""
+    incarnation_by_id: dict[str, int] = {}
+    for departure in departures:
+        known = incarnation_by_id.pop(departure.target_id, 0)
+        incarnation_by_id[departure.target_id] = max(known, departure.incarnation)
+    newest = list(incarnation_by_id.items())[-MAX_STORED_DEPARTURES:]
+    return tuple(Departure(target_id, incarnation) for target_id, incarnation in newest)
+
+
 async def _first_true(tasks: set[asyncio.Task[bool]], timeout_s: float) -> str | None:
     """Return the name of the first task that returns True, or None after `timeout_s` seconds.
 
--- a/jaypost/gossip.py
+++ b/jaypost/gossip.py
@@ -86,6 +86,7 @@
     Accusation,
     Address,
     Delta,
+    Departure,
     NodeRecord,
     NodeState,
     RolloutStep,
@@ -445,6 +446,7 @@
         rollouts: tuple[RolloutStep, ...] | None = None,
         divider_term: int | None = None,
         link_mbps: float | None = None,
+        departures: tuple[Departure, ...] | None = None,
     ) -> NodeRecord:
         """Change the own record and queue it for the next push."""
         record = self._view.update_own(
@@ -453,6 +455,7 @@
             rollouts=rollouts,
             divider_term=divider_term,
             link_mbps=link_mbps,
+            departures=departures,
         )
         self._queue_records(record)
         return record
--- a/jaypost/records.py
+++ b/jaypost/records.py
@@ -268,6 +268,18 @@
     version: str = ""
 
 
+@dataclass(frozen=True, slots=True)
+class Departure:
+    """A target that drains or is gone.
+
+    `incarnation` is its start time in milliseconds since 1970. Announcements of the same or an
+    earlier start cannot make the target ready again.
+    """
+
+    target_id: str
+    incarnation: int
+
+
 class RolloutPhase(StrEnum):
     """Phase of a roll-out: in progress, or one of its two ends."""
 
@@ -341,7 +353,8 @@
     `control_address`; its admin server listens on `admin_address`. `rollouts` has the steps that
     the node decided on. `divider_term` is above 0 while the node divides allotments; the divider
     with the highest term is the present one. `link_mbps` is the rate of the host's link in megabits
-    per second, 0 when it is not known.
+    per second, 0 when it is not known. `departures` has the newest departures of the host, so that
+    the node learns of them after a restart.
     """
 
     node_id: str
@@ -356,6 +369,7 @@
     rollouts: tuple[RolloutStep, ...] = ()
     divider_term: int = 0
     link_mbps: float = 0.0
+    departures: tuple[Departure, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
--- a/jaypost/view.py
+++ b/jaypost/view.py
@@ -22,6 +22,7 @@
 from jaypost.records import (
     Accusation,
     Address,
+    Departure,
     NodeRecord,
     NodeState,
     PlacedTarget,
@@ -231,6 +232,7 @@
         rollouts: tuple[RolloutStep, ...] | None = None,
         divider_term: int | None = None,
         link_mbps: float | None = None,
+        departures: tuple[Departure, ...] | None = None,
     ) -> NodeRecord:
         """Change the own record and increment the sequence of its stamp."""
         own = self.own
@@ -242,6 +244,7 @@
             rollouts=own.rollouts if rollouts is None else rollouts,
             divider_term=own.divider_term if divider_term is None else divider_term,
             link_mbps=own.link_mbps if link_mbps is None else link_mbps,
+            departures=own.departures if departures is None else departures,
             stamp=Stamp(own.stamp.incarnation, own.stamp.sequence + 1),
         )
         self._store(record)
--- a/tests/eras/test_store_eras.py
+++ b/tests/eras/test_store_eras.py
@@ -12,11 +12,10 @@
 from jaypost import table
 from jaypost.allotments.divider import FIRST_TERM_KEY, Divider
 from jaypost.allotments.shares import Limit
-from jaypost.announcements import Departure
 from jaypost.config import ConfigHolder
 from jaypost.departures import Departures
 from jaypost.readers import TableReader, TableSource
-from jaypost.records import Address, Row, Table
+from jaypost.records import Address, Departure, Row, Table
 from jaypost.seeds import StoreSeeds
 from jaypost.store import Found, PrefixRead, Stored, Unchanged
 from standins.platform_store import PlatformStoreServer
--- a/tests/test_daemon.py
+++ b/tests/test_daemon.py
@@ -15,18 +15,26 @@
 from admin_fakes import VALID_ANNOUNCEMENT, load_settings
 
 from jaypost import STARTED_AT, daemon
-from jaypost.announcements import Announce
+from jaypost.announcements import Announce, Withdraw
 from jaypost.claims import ClaimUnavailable
 from jaypost.events import EventLog
 from jaypost.joining import Joined
-from jaypost.records import Address, TargetState
+from jaypost.records import (
+    Address,
+    Departure,
+    NodeRecord,
+    NodeState,
+    Stamp,
+    Target,
+    TargetState,
+)
 from jaypost.store import StoreCallEnded
 
 
 class CutOffGossip:
     """Fake gossip whose peers never answer: `leave` waits for 60 s."""
 
-    def publish(self, state=None, targets=None):
+    def publish(self, state=None, targets=None, departures=None):
         pass
 
     async def leave(self):
@@ -77,6 +85,67 @@
     assert {target.state for target in node.announcements.targets} == {TargetState.DRAINING}
 
 
+def previous_record(state, target_state, departures=()):
+    address = Address("127.0.0.1", 1)
+    target = Target("t1", "orders", 9000, 4, target_state, 7)
+    return NodeRecord(
+        "n",
+        "d",
+        "r",
+        address,
+        address,
+        address,
+        Stamp(1, 5),
+        state,
+        (target,),
+        (),
+        0,
+        0.0,
+        departures,
+    )
+
+
+@pytest.mark.parametrize("node_state", [NodeState.READY, NodeState.LEAVING, NodeState.LEFT])
+@pytest.mark.parametrize(
+    ("target_state", "departures", "states_of_leaving"),
+    [
+        pytest.param(TargetState.READY, (), set(), id="ready"),
+        pytest.param(TargetState.DRAINING, (), {NodeState.READY}, id="drained, maybe by the node"),
+        pytest.param(TargetState.DRAINING, (Departure("t1", 7),), set(NodeState), id="departed"),
+        pytest.param(TargetState.GONE, (), set(NodeState), id="gone, as earlier builds tell it"),
+        pytest.param(TargetState.READY, (Departure("t1", 6),), set(), id="earlier start departed"),
+    ],
+)
+async def test_restarted_node_adopts_the_departures_that_its_peers_know(
+    node_state, target_state, departures, states_of_leaving
+):
+    """Guards against a late announcement that brings a departed target back (P7)."""
+    node = daemon.Node(load_settings(), EventLog())
+    node.gossip = CutOffGossip()
+    node.egress.loop = asyncio.get_running_loop()
+    node._on_previous_record(previous_record(node_state, target_state, departures))
+    body = json.dumps(VALID_ANNOUNCEMENT | {"born": 7, "sequence": 1}).encode()
+    node.announcements.handle(Announce("t1", body, time.monotonic()))
+    has_departed = node_state in states_of_leaving
+    assert [t.state for t in node.announcements.targets] == (
+        [] if has_departed else [TargetState.READY]
+    )
+
+
+async def test_departures_are_in_the_record_that_is_replicated():
+    """Guards against a departure that counts as kept by peers, which do not know of it (P7)."""
+    node = daemon.Node(load_settings(), EventLog())
+    published = []
+    node.gossip = CutOffGossip()
+    node.gossip.publish = lambda **changes: published.append(changes)
+    node.announcements.on_departure = node._on_departure
+    node.announcements.handle(Withdraw("unknown", 0.0))
+    known = node.announcements.departures
+    assert published == [{"departures": known}] and known[0].target_id == "unknown"
+    node._adopt_departures((Departure("t1", 7),))
+    assert published[-1] == {"departures": (*known, Departure("t1", 7))}
+
+
 @pytest.mark.parametrize(
     ("statuses", "expected"),
     [
--- a/tests/test_leaving_targets.py
+++ b/tests/test_leaving_targets.py
@@ -8,12 +8,12 @@
 import pytest
 from admin_fakes import load_settings
 
-from jaypost.announcements import Announce, Announcements, Departure, ReportLeaving
+from jaypost.announcements import Announce, Announcements, ReportLeaving
 from jaypost.errors import ErrorKind, RunState
 from jaypost.events import EventLog
 from jaypost.health import TargetHealth
 from jaypost.placement import ChooseTarget, Chosen, NoTarget, Placement, TargetLeaving
-from jaypost.records import Address, PlacedTarget, Row, Spill, Target, TargetState
+from jaypost.records import Address, Departure, PlacedTarget, Row, Spill, Target, TargetState
 from tests.harness import UvloopPolicy, running_mesh
 from tests.test_faulty_targets import FaultyTarget, response
 
