Give the transport of the connection tests a socket

The transport now has a socket without a descriptor, and the watch of these tests reports nothing. No check changed.

--- a/tests/link_fakes.py
+++ b/tests/link_fakes.py
@@ -30,11 +30,18 @@
         self.now = until
 
 
+class FakeSocket:
+    """Socket without a connection in the kernel."""
+
+    def fileno(self) -> int:
+        return -1
+
+
 class FakeTransport(asyncio.Transport):
     """Records the time and size of each write, the data, and the other calls by name."""
 
     def __init__(self, clock: SimulatedClock) -> None:
-        super().__init__()
+        super().__init__({"socket": FakeSocket()})
         self.clock = clock
         self.written: list[tuple[float, int]] = []
         self.data = b""
