Let join replies of a small fleet have the newest records

A restarted node asked one of its two peers for its version and took that for all that it could reach, so it could have come up on an older version.

Cause: the pieces of a join reply are packed for reuse for up to 5 s although records have changed. On a fast machine the restart comes within 5 s of the start of the fleet, and the reply lacked a node that had joined meanwhile: traced by printing the records that the restarted node knew.

Change: with up to 100 records a piece is packed again when its records have changed. In larger fleets an outdated reply still names more peers than the three that are asked.

--- a/jaypost/joining.py
+++ b/jaypost/joining.py
@@ -24,6 +24,9 @@
 # A cached piece is reused up to this age although records in it have changed. The joining node gets
 # the changes by synchronisation.
 MAX_OUTDATED_PIECE_AGE_S = 5.0
+# Up to this number of records each reply has the newest ones: in a small fleet a restarted node
+# asks all nodes that it knows for their versions, and must know all of them.
+FRESH_PIECES_MAX_RECORDS = 100
 # A cached piece without changed records is reused up to this age. Its `left_age_by_id`, the times
 # since nodes left, are too small by the age of the piece, and must not be much too small.
 MAX_UNCHANGED_PIECE_AGE_S = 60.0
@@ -137,13 +140,11 @@
             pieces.append(cached.data)
         return tuple(pieces)
 
-    @staticmethod
-    def _reusable(piece: _CachedPiece, bucket_hash: int, now: float) -> bool:
-        limit_s = (
-            MAX_UNCHANGED_PIECE_AGE_S
-            if piece.bucket_hash == bucket_hash
-            else MAX_OUTDATED_PIECE_AGE_S
-        )
+    def _reusable(self, piece: _CachedPiece, bucket_hash: int, now: float) -> bool:
+        limit_s = MAX_UNCHANGED_PIECE_AGE_S
+        if piece.bucket_hash != bucket_hash:
+            is_small = len(self._view) <= FRESH_PIECES_MAX_RECORDS
+            limit_s = 0.0 if is_small else MAX_OUTDATED_PIECE_AGE_S
         return now - piece.packed_at < limit_s
 
     def _pack_piece(self, bucket: int, bucket_hash: int, now: float) -> _CachedPiece:
--- a/tests/test_gossip.py
+++ b/tests/test_gossip.py
@@ -11,8 +11,8 @@
 from jaypost import freshness
 from jaypost.gossip import Gossip
 from jaypost.joining import Founded, Joined, JoinServer
-from jaypost.messages import Join, JoinReply, Push
-from jaypost.peers import Busy, CallOutcome, Failed, FailureReason, Replied
+from jaypost.messages import Join, JoinReply, Push, RecordPiece
+from jaypost.peers import Busy, CallOutcome, Failed, FailureReason, Replied, unpack
 from jaypost.records import Accusation, Address, NodeRecord, NodeState, Stamp, TargetState
 from jaypost.seeds import Seed
 from jaypost.view import MembershipView
@@ -354,6 +354,25 @@
     assert await server.pieces(0.0) == await server.pieces(1.0)
 
 
+@pytest.mark.parametrize(
+    ("records", "after_s", "has_newest"),
+    [(2, 0.1, True), (100, 0.1, True), (101, 0.1, False), (101, 5.1, True)],
+)
+async def test_join_reply_of_a_small_fleet_has_the_newest_records(
+    records: int, after_s: float, has_newest: bool
+) -> None:
+    """Guards against a restarted node that asks only some of its few peers for their versions."""
+    view = MembershipView(make_record("own"), 0.0)
+    server = JoinServer(view, 20.0, random.Random(1), 0.0)
+    view.merge([make_record(f"n{number}") for number in range(records - 2)], 0.0)
+    await server.pieces(0.0)
+    view.merge([make_record("newest")], 0.0)
+    pieces = [unpack(data, RecordPiece) for data in await server.pieces(after_s)]
+    ids = {record.node_id for piece in pieces for record in piece.records}
+    assert ("newest" in ids) is has_newest
+    assert len(ids) >= records - 1
+
+
 def test_accusation_of_a_left_node_is_ignored() -> None:
     """Guards against refutations that renew a record which is to expire."""
     view = MembershipView(make_record("own", state=NodeState.LEFT), 0.0)
