Let a withdrawal of an earlier start change nothing of a later one

Cause: the node did not read the start time in the body of the withdrawal and took it for one of the start that it knew; a withdrawal of an unknown target covered all starts until then.

Change: Withdraw names the start. An earlier one than the known one is ignored and logged as withdrawal_late; without a valid start time the withdrawal is of the present start, as before.

Measured: three new rows of the table of announcements fail with the rule taken out. The whole case with processes was not run.

--- a/jaypost/admin.py
+++ b/jaypost/admin.py
@@ -20,6 +20,7 @@
     Announcements,
     TargetAccepted,
     Withdraw,
+    parse_withdrawal,
 )
 from jaypost.errors import ANSWER_BY_KIND, ErrorKind
 from jaypost.events import EventLog
@@ -278,7 +279,8 @@
         return json_reply({"target": reply.target})
 
     async def _delete_target(self, request: Request) -> Reply:
-        reply = self._announcements.handle(Withdraw(request.path[1], time.monotonic()))
+        withdrawal = Withdraw(request.path[1], time.monotonic(), parse_withdrawal(request.body))
+        reply = self._announcements.handle(withdrawal)
         if isinstance(reply, AnnouncementRefused):
             return self._refusal_reply(reply)
         if not await self._ensure_departures_persisted():
--- a/jaypost/announcements.py
+++ b/jaypost/announcements.py
@@ -94,12 +94,19 @@
     now: float
 
 
+class WithdrawalBody(msgspec.Struct, frozen=True):
+    """JSON body of ``DELETE /targets/ID``, which may be empty; `born` as in `AnnouncementBody`."""
+
+    born: int = 0
+
+
 @dataclass(frozen=True, slots=True)
 class Withdraw:
-    """A target reports that it is gone."""
+    """A target reports that it is gone; `incarnation` is the start that is, 0 when unknown."""
 
     target_id: str
     now: float
+    incarnation: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -281,13 +288,21 @@
 
     @handle.register
     def _withdraw(self, message: Withdraw) -> Reply:
-        entry = self._entry_by_id.pop(message.target_id, None)
+        entry = self._entry_by_id.get(message.target_id)
+        if entry is not None and 0 < message.incarnation < entry.target.incarnation:
+            log.info(
+                EventName.WITHDRAWAL_LATE,
+                target_id=message.target_id,
+                incarnation=message.incarnation,
+            )
+            return TargetsListed(self._published)
         if entry is None:
             # The reply to an earlier withdrawal was lost, or this node has been restarted since.
             # Late announcements of a target that started before now must not bring it back.
-            self._add_departure(message.target_id, wall_clock_ms())
+            self._add_departure(message.target_id, message.incarnation or wall_clock_ms())
             return TargetsListed(self._published)
-        self._add_departure(message.target_id, entry.target.incarnation)
+        del self._entry_by_id[message.target_id]
+        self._add_departure(message.target_id, max(message.incarnation, entry.target.incarnation))
         if entry.target.incarnation:
             self._add_withdrawn(replace(entry.target, state=TargetState.GONE))
         self._record(EventName.TARGET_GONE, entry.target, reason="withdrawn")
@@ -462,6 +477,15 @@
             await asyncio.sleep(TICK_INTERVAL_S)
 
 
+def parse_withdrawal(body: bytes) -> int:
+    """Return the start time in the JSON body of a withdrawal; 0 if there is none that is valid."""
+    try:
+        born = msgspec.json.decode(body, type=WithdrawalBody).born
+    except (ValueError, RecursionError):
+        return 0
+    return born if 0 <= born <= MAX_START_MS else 0
+
+
 def parse_announcement(
     target_id: str, body: bytes, own_host: str = LOOPBACK
 ) -> Announcement | AnnouncementRefused:
--- a/jaypost/logs.py
+++ b/jaypost/logs.py
@@ -94,6 +94,7 @@
     SPILL_ENDED = "spill_ended"
     ANNOUNCEMENT_REFUSED = "announcement_refused"
     ANNOUNCEMENT_LATE = "announcement_late"
+    WITHDRAWAL_LATE = "withdrawal_late"
     DEPARTURE_KEPT = "departure_kept"
     DEPARTURE_NOT_KEPT = "departure_not_kept"
     DEPARTURES_ADOPTED = "departures_adopted"
--- a/tests/test_admin.py
+++ b/tests/test_admin.py
@@ -67,6 +67,17 @@
     assert b'"targets":[]' in (await harness.request("GET", "/targets")).body
 
 
+@pytest.mark.parametrize(("withdrawn", "is_listed"), [(5, True), (6, False)])
+async def test_withdrawal_names_the_start_that_is_gone(harness, withdrawn, is_listed):
+    """Guards against a late withdrawal that ends a target which has started again (CONFIG)."""
+    body = json.dumps(VALID_ANNOUNCEMENT | {"born": 6}).encode()
+    await harness.request("PUT", "/targets/t1", body)
+    gone = json.dumps({"born": withdrawn}).encode()
+    assert (await harness.request("DELETE", "/targets/t1", gone)).status == 200
+    targets = json.loads((await harness.request("GET", "/targets")).body)["targets"]
+    assert [target["state"] for target in targets] == ["ready" if is_listed else "gone"]
+
+
 async def test_readyz_reports_a_ready_node(harness):
     harness.node.ready = admin.Readiness(True)
     assert (await harness.request("GET", "/readyz")).status == 200
--- a/tests/test_announcements.py
+++ b/tests/test_announcements.py
@@ -141,6 +141,21 @@
             {"t1": "gone"},
             id="a later start is withdrawn as well",
         ),
+        pytest.param(
+            [announcement_of(5, 1), announcement_of(6, 1), a.Withdraw("t1", 0.0, 5)],
+            {"t1": "ready"},
+            id="a late withdrawal of an earlier start changes nothing",
+        ),
+        pytest.param(
+            [a.Withdraw("t1", 0.0, 5), announcement_of(6, 1), announcement_of(6, 2)],
+            {"t1": "ready"},
+            id="a withdrawal of an unknown start does not cover later ones",
+        ),
+        pytest.param(
+            [announcement_of(5, 1), a.Withdraw("t1", 0.0, 6), announcement_of(6, 1)],
+            {"t1": "gone"},
+            id="a withdrawal of a start that did not announce itself covers it",
+        ),
         pytest.param(
             [announcement_of(5, 1), None, announcement_of(5, 2, "draining")],
             {"t1": "gone"},
@@ -164,8 +179,8 @@
     Also guards against a target that starts again under its id and gets no request (CONFIG).
     """
     for now, item in enumerate(announced):
-        if item is None:
-            host.registry.handle(a.Withdraw("t1", now / 10))
+        if item is None or isinstance(item, a.Withdraw):
+            host.registry.handle(item or a.Withdraw("t1", now / 10))
             continue
         target_id, born, sequence, state = item
         host.announce(target_id, now / 10, born=born, sequence=sequence, state=state)
@@ -267,6 +282,25 @@
     assert host.published == []
 
 
+@pytest.mark.parametrize(
+    ("body", "born"),
+    [
+        (b'{"born": 7, "x": 1}', 7),
+        (b"{}", 0),
+        (b"", 0),
+        (b"{", 0),
+        (b'{"born": "7"}', 0),
+        (b'{"born": 7.5}', 0),
+        (b'{"born": -1}', 0),
+        (b'{"born": 99999999999999999999}', 0),
+        (b"[" * 100_000, 0),
+    ],
+)
+def test_withdrawals_without_a_valid_start_are_of_the_present_one(body, born):
+    """Guards against a withdrawal of another writer that is refused or outlasts later starts."""
+    assert a.parse_withdrawal(body) == born
+
+
 @pytest.mark.parametrize("body", [b"", b"{", b"\xff\xfe", b'{"service":"\xff"}', b"[" * 100_000])
 def test_bytes_that_are_not_json_are_refused(host, body):
     """Guards against a decoding error that escapes to the admin server."""
