Keep retry tokens for each service, not for each route

Cause: the tokens were kept by the name of the row, which is a route; each route begins with one token and saves up to three. Ruled out: retries without a token that arrive, as the excess grows with the number of routes.

Change: RetryPolicy keeps them by the destination of the request, for retries and hedges.

Measured: a new test with 1, 3 and 300 routes to one service fails for 3 and 300 with buckets by row, and holds now.

--- a/bench/policies.py
+++ b/bench/policies.py
@@ -517,7 +517,9 @@
 
     def start(self, request: Request) -> None:
         """Begin the first attempt of a request."""
-        self.ingresses[request.ingress].retries.request_started(self.row, self.simulation.now)
+        self.ingresses[request.ingress].retries.request_started(
+            self.row, self.row.service, self.simulation.now
+        )
         self._start_attempt(request)
 
     def _start_attempt(self, request: Request) -> None:
@@ -624,6 +626,7 @@
         now = self.simulation.now
         failure = RetryQuery(
             self.row,
+            self.row.service,
             "GET",
             request.attempts,
             kind,
--- a/jaypost/ingress_calls.py
+++ b/jaypost/ingress_calls.py
@@ -575,7 +575,7 @@
         if self._waits_for_allotment:
             self._start_is_due = True
             return
-        self._ingress.retries.request_started(self._row, self._ingress.clock())
+        self._ingress.retries.request_started(self._row, self._destination, self._ingress.clock())
         key = self._head.control.get(IDEMPOTENCY_KEY)
         if key is None or self._head.method in self._row.repeatable_methods:
             self._start_attempt()
@@ -776,7 +776,9 @@
         now = self._ingress.clock()
         if self._head.method not in row.repeatable_methods:
             return
-        if self._ingress.retries.charge_hedge(row, self._head.method, self._inside_retry, now):
+        if self._ingress.retries.charge_hedge(
+            row, self._destination, self._head.method, self._inside_retry, now
+        ):
             self._start_attempt(hedge=True)
 
     def _on_first_byte_timeout(self, attempt: Attempt) -> None:
@@ -946,6 +948,7 @@
         return self._ingress.retries.decide(
             RetryQuery(
                 row,
+                self._destination,
                 self._head.method,
                 self._attempt_count,
                 failure.kind,
--- a/jaypost/retries.py
+++ b/jaypost/retries.py
@@ -34,7 +34,9 @@
     Parameters
     ----------
     row : Row
-        Row of the service.
+        Row of the request.
+    service : str
+        Service that the request goes to, a destination of the row.
     method : str
         HTTP method.
     attempt : int
@@ -66,6 +68,7 @@
     """
 
     row: Row
+    service: str
     method: str
     attempt: int
     kind: ErrorKind | None
@@ -109,6 +112,9 @@
 class RetryPolicy:
     """Decides on retries and hedges, and keeps a bucket of retry tokens for each service.
 
+    All rows that send requests to a service share its bucket: many rows would otherwise allow many
+    retries at the service when its targets begin to fail.
+
     A request adds `retry_budget` tokens when it starts. A hedge takes one token, and so does a
     retry that `decide` charges. The tokens of a request are taken back when its first attempt
     fails, unless that attempt did not run and another one may succeed. So retries stop when every
@@ -125,9 +131,9 @@
         self._rng = rng
         self._tokens_by_service: dict[str, float] = {}
 
-    def request_started(self, row: Row, now: float) -> None:
+    def request_started(self, row: Row, service: str, now: float) -> None:
         """Add the tokens of one request to the bucket of its service."""
-        self._add_tokens(row, row.retry_budget)
+        self._add_tokens(service, row.retry_budget)
 
     def decide(self, failure: RetryQuery) -> Retry | GiveUp:
         """Return whether the request is attempted again, and charge the attempt to the budget.
@@ -136,22 +142,24 @@
         """
         refused = self._is_retryable_refusal(failure)
         if failure.attempt == 1 and not refused:
-            self._add_tokens(failure.row, -failure.row.retry_budget)
+            self._add_tokens(failure.service, -failure.row.retry_budget)
         if not self._may_retry(failure, refused):
             return GiveUp(failure.kind, final=True)
         delay_s = 0.0 if refused else self._random_delay_s(failure.attempt)
         if failure.remaining_s <= delay_s:
             return GiveUp(failure.kind, final=True)
         costs_token = not refused or failure.delivered_attempts > 0
-        if costs_token and not self._take_token(failure.row):
+        if costs_token and not self._take_token(failure.row, failure.service):
             return GiveUp(failure.kind, final=True)
         return Retry(delay_s)
 
-    def charge_hedge(self, row: Row, method: str, inside_retry: bool, now: float) -> bool:
+    def charge_hedge(
+        self, row: Row, service: str, method: str, inside_retry: bool, now: float
+    ) -> bool:
         """Return whether a hedge may be sent now; if so, take its token from the budget."""
         if inside_retry or not row.hedge_ms or not row.retry_limit:
             return False
-        return method in row.repeatable_methods and self._take_token(row)
+        return method in row.repeatable_methods and self._take_token(row, service)
 
     def forget(self, service: str) -> None:
         """Remove the token bucket of a service whose row was deleted."""
@@ -184,13 +192,13 @@
         ceiling_s = min(BACKOFF_MAX_S, BACKOFF_BASE_S * 2 ** (attempt - 1))
         return self._rng.uniform(0.0, ceiling_s)
 
-    def _add_tokens(self, row: Row, tokens: float) -> None:
-        available = self._tokens_by_service.get(row.service, INITIAL_RETRY_TOKENS)
-        self._tokens_by_service[row.service] = min(MAX_RETRY_TOKENS, max(0.0, available + tokens))
+    def _add_tokens(self, service: str, tokens: float) -> None:
+        available = self._tokens_by_service.get(service, INITIAL_RETRY_TOKENS)
+        self._tokens_by_service[service] = min(MAX_RETRY_TOKENS, max(0.0, available + tokens))
 
-    def _take_token(self, row: Row) -> bool:
-        available = self._tokens_by_service.get(row.service, INITIAL_RETRY_TOKENS)
+    def _take_token(self, row: Row, service: str) -> bool:
+        available = self._tokens_by_service.get(service, INITIAL_RETRY_TOKENS)
         if available < 1.0 or not row.retry_budget:
             return False
-        self._tokens_by_service[row.service] = available - 1.0
+        self._tokens_by_service[service] = available - 1.0
         return True
--- a/standins/decisions.py
+++ b/standins/decisions.py
@@ -83,7 +83,7 @@
     def __init__(self) -> None:
         self.failures: list[RetryQuery] = []
 
-    def request_started(self, row: Row, now: float) -> None:
+    def request_started(self, row: Row, service: str, now: float) -> None:
         """Do nothing: there is no budget."""
 
     def decide(self, failure: RetryQuery) -> Retry | GiveUp:
@@ -101,7 +101,9 @@
             return GiveUp(failure.kind, False)
         return Retry(0.0) if refused or repeatable else GiveUp(failure.kind, False)
 
-    def charge_hedge(self, row: Row, method: str, inside_retry: bool, now: float) -> bool:
+    def charge_hedge(
+        self, row: Row, service: str, method: str, inside_retry: bool, now: float
+    ) -> bool:
         """Allow every hedge."""
         return True
 
--- a/tests/test_retries.py
+++ b/tests/test_retries.py
@@ -11,20 +11,20 @@
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 
 from jaypost.errors import ErrorKind
-from jaypost.records import Row
-from jaypost.retries import GiveUp, Retry, RetryPolicy, RetryQuery
+from jaypost.records import Destination, Row
+from jaypost.retries import MAX_RETRY_TOKENS, GiveUp, Retry, RetryPolicy, RetryQuery
 
 ROW = Row("docs")
 UNKNOWN = ErrorKind.OUTCOME_UNKNOWN
 # The first attempt of a GET request failed 5 s before its deadline and may have run.
-FAILED = RetryQuery(ROW, "GET", 1, UNKNOWN, 0, True, True, False, False, 5.0, 0.0)
+FAILED = RetryQuery(ROW, ROW.service, "GET", 1, UNKNOWN, 0, True, True, False, False, 5.0, 0.0)
 REFUSED = replace(FAILED, kind=ErrorKind.SLOTS_FULL, may_have_run=False)
 
 
 def make_policy(request_count=100, row=ROW):
     policy = RetryPolicy(random.Random(3))
     for _ in range(request_count):
-        policy.request_started(row, 0.0)
+        policy.request_started(row, row.service, 0.0)
     return policy
 
 
@@ -95,11 +95,30 @@
 def test_hedges_only_repeatable_requests_within_the_budget(row, method, inside_retry, allowed):
     """Guards against hedges that execute a request twice or multiply the load."""
     policy = make_policy()
-    assert policy.charge_hedge(row, method, inside_retry, 0.0) is allowed
-    allowed_count = sum(policy.charge_hedge(row, method, inside_retry, 0.0) for _ in range(100))
+    assert policy.charge_hedge(row, row.service, method, inside_retry, 0.0) is allowed
+    allowed_count = sum(
+        policy.charge_hedge(row, row.service, method, inside_retry, 0.0) for _ in range(100)
+    )
     assert allowed_count <= 10
 
 
+@pytest.mark.parametrize("routes", [1, 3, 300])
+def test_routes_to_one_service_share_its_budget(routes):
+    """Guards against a service whose retries grow with the number of its routes (BUDGET)."""
+    rows = [
+        Row(f"route-{number}", destinations=(Destination("docs", 1),), retry_budget=0.2)
+        for number in range(routes)
+    ]
+    policy, retries, requests = RetryPolicy(random.Random(1)), 0, 600
+    for number in range(requests):
+        row = rows[number % routes]
+        policy.request_started(row, "docs", 0.0)
+        if number >= requests // 2:  # from now on the targets shed every second request
+            shed = replace(REFUSED, row=row, kind=ErrorKind.TARGET_SHED, delivered_attempts=1)
+            retries += number % 2 and isinstance(policy.decide(shed), Retry)
+    assert retries <= 0.2 * requests / 2 + MAX_RETRY_TOKENS
+
+
 @pytest.mark.parametrize("headers_propagated", [True, False])
 @pytest.mark.parametrize("depth", [1, 3, 8])
 def test_load_at_each_depth_when_every_target_fails(depth, headers_propagated):
@@ -114,7 +133,7 @@
     def call(level, inside_retry):
         if level == depth:
             return False
-        policies[level].request_started(ROW, 0.0)
+        policies[level].request_started(ROW, ROW.service, 0.0)
         attempt = 0
         while True:
             attempt += 1
@@ -146,7 +165,7 @@
     def start_requests(self, count):
         self.request_count += count
         for _ in range(count):
-            self.policy.request_started(self.row, 0.0)
+            self.policy.request_started(self.row, self.row.service, 0.0)
 
     @rule(attempt=st.integers(1, 3))
     def fail_attempt(self, attempt):
@@ -155,7 +174,9 @@
 
     @rule()
     def hedge(self):
-        self.charged_attempts += self.policy.charge_hedge(self.row, "GET", False, 0.0)
+        self.charged_attempts += self.policy.charge_hedge(
+            self.row, self.row.service, "GET", False, 0.0
+        )
 
     @invariant()
     def charges_stay_within_budget(self):
