Use the share of an undivided limit only when all hosts are known

Cause: until there is a divider each host uses an equal share of half of the limit. It counted one host until its first renewal, and only the hosts known so far while the others joined.

Change: the hosts are counted with each request, and the share is used once no further host has been learned of for 1 s. The token that a new bucket has at once follows the same rule.

Measured: four of six rows of a new test fail without the wait.

--- a/jaypost/allotments/buckets.py
+++ b/jaypost/allotments/buckets.py
@@ -21,6 +21,9 @@
 # started, as after a loss of all hosts. It is the part that a divider leases, and the hosts report
 # it as held.
 UNDIVIDED_FRACTION = LEASED_RATE_FRACTION
+# Such a share is used only if no host has been added for this long. While the hosts of a fleet
+# start together, each knows few of the others, and the shares would not add up to that part.
+HOSTS_SETTLED_S = 1.0
 # A workspace without requests for this long gives its share back.
 IDLE_S = 10.0
 # Time in seconds for which a host does not ask for more tokens after the divider had too few.
@@ -90,11 +93,18 @@
     def __init__(self, fallback_fraction: float) -> None:
         self._fallback_fraction = fallback_fraction
         self._bucket_by_workspace: dict[str, _Bucket] = {}
-        # Hosts of the fleet, among which the fallback is divided.
-        self.host_count = 1
+        # Hosts of the fleet, among which the fallback is divided, and when one was added last.
+        self._host_count = 0
+        self._host_added_at = float("-inf")
         # Whether a divider has been known since the start of the process.
         self.was_divided = False
 
+    def note_hosts(self, count: int, now: float) -> None:
+        """Note how many hosts the fleet has as far as known, this one included."""
+        if count > self._host_count:
+            self._host_added_at = now
+        self._host_count = count
+
     def take(
         self, workspace: Workspace, now: float, may_wait: bool = True, has_waited: bool = False
     ) -> TakeOutcome:
@@ -195,7 +205,7 @@
         bucket = self._bucket_by_workspace.get(workspace.name)
         if bucket is None:
             bucket = _Bucket(workspace, now, demand_at=now)
-            bucket.tokens = 0.0 if self.was_divided else 1.0
+            bucket.tokens = 1.0 if not self.was_divided and self._unleased_fraction(now) else 0.0
             self._bucket_by_workspace[workspace.name] = bucket
         elif bucket.workspace is not workspace:
             bucket.workspace = workspace
@@ -209,10 +219,15 @@
         """
         limit = bucket.workspace.rate_limit
         if bucket.expires_at <= now or not bucket.granted_limit:
-            fraction = self._fallback_fraction if self.was_divided else UNDIVIDED_FRACTION
-            return fraction * limit / max(1, self.host_count)
+            return self._unleased_fraction(now) * limit / max(1, self._host_count)
         return bucket.rate * limit / bucket.granted_limit
 
+    def _unleased_fraction(self, now: float) -> float:
+        """Return the fraction of a limit that all hosts without a lease may use together."""
+        if self.was_divided:
+            return self._fallback_fraction
+        return UNDIVIDED_FRACTION if now - self._host_added_at >= HOSTS_SETTLED_S else 0.0
+
     def _refill(self, bucket: _Bucket, now: float) -> None:
         rate = self._rate(bucket, now)
         passed_s = max(0.0, now - bucket.refilled_at)
--- a/jaypost/allotments/holder.py
+++ b/jaypost/allotments/holder.py
@@ -89,6 +89,7 @@
     def start(self) -> None:
         """Start the task; a node that joined knows the divider of its fleet."""
         self._buckets.was_divided = self._directory.divider() is not None
+        self._buckets.note_hosts(self._directory.host_count(), self._clock())
         self._task = asyncio.create_task(self._run())
 
     async def close(self) -> None:
@@ -100,8 +101,10 @@
 
     def take(self, workspace: Workspace) -> TakeOutcome:
         """Take a token for a request."""
+        now = self._clock()
+        self._buckets.note_hosts(self._directory.host_count(), now)
         may_wait = self._directory.divider() is not None
-        return self._buckets.take(workspace, self._clock(), may_wait)
+        return self._buckets.take(workspace, now, may_wait)
 
     def give_back(self, workspace: Workspace) -> None:
         """Return the token of a request that was not run."""
@@ -141,9 +144,9 @@
             await asyncio.sleep(MIN_RENEWAL_S)
 
     async def _renew(self) -> None:
-        self._buckets.host_count = self._directory.host_count()
         divider = self._directory.divider()
         now = self._clock()
+        self._buckets.note_hosts(self._directory.host_count(), now)
         demands = self._buckets.demands(now)
         # A new divider waits until every host has told it what it holds.
         is_new = divider is not None and divider.divider_term != self._known_term
--- a/tests/allotments/test_shares.py
+++ b/tests/allotments/test_shares.py
@@ -312,8 +312,28 @@
 def test_lease_ends_and_the_fallback_is_a_small_part_of_the_limit() -> None:
     """Guards against a host out of touch that goes on with a share leased to others."""
     buckets = divided_buckets(0.1)
-    buckets.host_count = 10
+    buckets.note_hosts(10, 0.0)
     buckets.take(WORKSPACE, 0.0)
     buckets.apply([Grant("lettings", 10.0, 2.5, 0.0, 20.0)], 0.0, 0.0)
     taken = [isinstance(buckets.take(WORKSPACE, LEASE_S + 0.1 * n), Taken) for n in range(100)]
     assert 2 <= sum(taken) <= 5  # 0.2 a second, and what was left of the share
+
+
+@pytest.mark.parametrize("hosts", [12, 60])
+@pytest.mark.parametrize("join_s", [0.0, 0.3, 2.0])
+def test_hosts_that_start_together_stay_within_the_limit(hosts: int, join_s: float) -> None:
+    """Guards against hosts that each take the part of a whole fleet at its start (QUOTA)."""
+    workspace = Workspace("hot", rate_limit=200.0, rate_burst=20.0)
+    all_buckets = [ShareBuckets(0.0) for _ in range(hosts)]
+    taken_at = []
+    for step in range(1, 5001):
+        now = step / 1000
+        known = hosts if now >= join_s else max(1, int(hosts * now / join_s))
+        buckets = all_buckets[step % hosts]
+        buckets.note_hosts(known, now)
+        taken_at += [now for _ in range(3) if isinstance(buckets.take(workspace, now), Taken)]
+    # Until there is a divider they use the part that is leased, and one request each at once.
+    assert len(taken_at) <= LEASED_RATE_FRACTION * 200.0 * 5.0 + hosts
+    assert min(taken_at) >= join_s
+    settled_s = 5.0 - join_s - 1.0 - 2 * hosts / 1000
+    assert len(taken_at) >= 0.8 * LEASED_RATE_FRACTION * 200.0 * settled_s
