Repeat the write of departures until the store has all of them

Found by reading: a repeated write that succeeds ended the repetition also for a departure that came while it was in progress, whose own write failed; and a store that knew a later start of a target was taken for one without the departure.

Change: the repetition ends when the store has all wanted departures, or later ones of the same targets.

--- a/jaypost/departures.py
+++ b/jaypost/departures.py
@@ -148,7 +148,7 @@
             asyncio.create_task(self._replicate_to_peers(), name="peers"),
         }
         kept_by = await _first_true(tasks, PERSIST_TIMEOUT_S)
-        if not wanted <= self._stored:
+        if not self._is_stored():
             self._write_is_due.set()
         if kept_by is None:
             log.warning(EventName.DEPARTURE_NOT_KEPT, departures=len(departures))
@@ -161,10 +161,20 @@
         while True:
             await self._write_is_due.wait()
             await asyncio.sleep(STORE_RETRY_S)
-            if frozenset(self._wanted) <= self._stored or await self._write_to_store():
+            if not self._is_stored():
+                await self._write_to_store()
+            # More departures may have come while the write was in progress.
+            if self._is_stored():
                 self._write_is_due.clear()
                 log.info(EventName.DEPARTURE_KEPT, by="later_store", departures=len(self._wanted))
 
+    def _is_stored(self) -> bool:
+        """Return whether the store has all wanted departures, or later ones of their targets."""
+        incarnation_by_id = {item.target_id: item.incarnation for item in self._stored}
+        return all(
+            incarnation_by_id.get(item.target_id, 0) >= item.incarnation for item in self._wanted
+        )
+
     async def _replicate_to_peers(self) -> bool:
         return await self._replicate()
 
--- a/tests/test_departures.py
+++ b/tests/test_departures.py
@@ -138,6 +138,45 @@
     await departures.close()
 
 
+async def test_departure_that_comes_during_a_late_write_is_written_as_well(monkeypatch):
+    """Guards against a repeated write that ends the repetition for a newer departure (P7)."""
+    monkeypatch.setattr(d, "STORE_RETRY_S", 0.02)
+    store = FakeStore()
+    departures = d.Departures(store, "n1", FakePeers())
+    departures.start()
+    store.down = True
+    assert await departures.persist(DEPARTURES[:1])
+    put, written = store.put, asyncio.Event()
+
+    async def put_while_another_departs(key, value, if_revision, lease_id=None):
+        store.put = put
+        store.down = True
+        assert await departures.persist(DEPARTURES)
+        store.down = False
+        outcome = store.apply(key, value, if_revision)
+        written.set()
+        return outcome
+
+    store.put, store.down = put_while_another_departs, False
+    await written.wait()
+    await wait_until(lambda: store.departures() == set(DEPARTURES))
+    await departures.close()
+
+
+async def test_store_that_knows_a_later_start_is_not_written_again_and_again(monkeypatch):
+    """Guards against a write each second for a departure that the store has no need of."""
+    monkeypatch.setattr(d, "STORE_RETRY_S", 0.02)
+    store = FakeStore()
+    assert await d.Departures(store, "n1", FakePeers(False)).persist((Departure("t1", 9),))
+    departures = d.Departures(store, "n1", FakePeers())
+    departures.start()
+    assert await departures.persist((Departure("t1", 5),))
+    await asyncio.sleep(0.2)
+    assert store.writes <= 2
+    assert store.departures() == {Departure("t1", 9)}
+    await departures.close()
+
+
 async def test_write_that_takes_effect_late_does_not_undo_a_later_one():
     """Guards against a store that loses a departure to a write which it carries out late (P7)."""
     store = FakeStore()
