Check in the soak that targets which started again get requests

The stand-in now sends born and sequence with its announcements and born with its withdrawal. At the end of a run, with the load still on, every target must get a request within the limit for the convergence of versions; roll-outs, which exclude targets, are left out.

The product did not change.

--- a/bench/chaos.py
+++ b/bench/chaos.py
@@ -336,6 +336,7 @@
         self._row_mismatches: list[str] = []
         self._invariant_violations_by_node: dict[str, float] = {}
         self._convergence_s: float | None = None
+        self._unserved_target_ids: tuple[str, ...] = ()
         self._history: tuple[Delta, ...] = ()
 
     async def run(self) -> RunRecord:
@@ -385,6 +386,8 @@
         self._history = await self._read_history(writer)
         await self._wait_converged(faults_ended_s)
         rollout_record = await rollout
+        if rollout_record is None:
+            await self._wait_targets_served()
         load.stop()
         await tasks[0]
         await self._compare_rows()
@@ -417,6 +420,7 @@
             checks.read_shown_keys(self._fleet.directory, (*WORKSPACE_BY_KEY, UNKNOWN_KEY)),
             tuple(self._stalls),
             rollout_record,
+            self._unserved_target_ids,
         )
 
     async def _roll_out(self, store: StoreClient, runner: FaultRunner) -> RolloutRecord | None:
@@ -606,6 +610,21 @@
                 return
             await asyncio.sleep(POLL_INTERVAL_S)
 
+    async def _wait_targets_served(self) -> None:
+        """Wait until every target has got a request since now, and note those that get none."""
+        before = checks.count_request_lines(self._fleet.directory)
+        deadline = time.monotonic() + self._plan.convergence_limit_s
+        while True:
+            counts = checks.count_request_lines(self._fleet.directory)
+            self._unserved_target_ids = tuple(
+                target_id
+                for target_id in self._target_ids()
+                if counts[target_id] <= before[target_id]
+            )
+            if not self._unserved_target_ids or time.monotonic() > deadline:
+                return
+            await asyncio.sleep(POLL_INTERVAL_S)
+
     async def _compare_rows(self) -> None:
         """Compare the rows in force on every node with the result of applying the history.
 
--- a/bench/chaos_checks.py
+++ b/bench/chaos_checks.py
@@ -250,6 +250,8 @@
         Times in which the process with the callers and the relays was not scheduled.
     rollout : RolloutRecord or None
         Roll-out to check.
+    unserved_target_ids : tuple of str
+        Targets that got no request after the end of the faults.
     """
 
     calls: tuple[SentCall, ...]
@@ -272,6 +274,7 @@
     shown_keys: tuple[str, ...] = ()
     stalls: tuple[FaultWindow, ...] = ()
     rollout: RolloutRecord | None = None
+    unserved_target_ids: tuple[str, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
@@ -292,6 +295,18 @@
     return tuple(lines)
 
 
+def count_request_lines(directory: Path) -> Counter[str]:
+    """Return the number of lines of requests in the journal of each target."""
+    counts: Counter[str] = Counter()
+    for path in directory.glob("*.journal"):
+        # The last line may be written only in part.
+        lines = path.read_text().splitlines()
+        counts[path.stem] = sum(
+            '"request_id": "' in i and '"request_id": ""' not in i for i in lines
+        )
+    return counts
+
+
 def read_log_problems(directory: Path) -> tuple[str, ...]:
     """Return the log lines that contain one of `FORBIDDEN_LOG_TEXTS`, with file and line number."""
     problems = []
@@ -325,6 +340,7 @@
         *check_keys(record),
         *check_allotments(record),
         *check_rollout(record),
+        *check_targets_served(record),
     ]
     return tuple(violations)
 
@@ -554,6 +570,12 @@
     return tuple(names)
 
 
+def check_targets_served(record: RunRecord) -> Iterator[RuleViolation]:
+    """Check that a target which started again gets requests, also under the id that it had."""
+    for target_id in record.unserved_target_ids:
+        yield RuleViolation("served", f"{target_id} got no request after the faults")
+
+
 def check_processes(record: RunRecord) -> Iterator[RuleViolation]:
     """Check exit codes, counted invariant violations and logs.
 
--- a/standins/target.py
+++ b/standins/target.py
@@ -511,6 +511,8 @@
         self._version = version
         self._pool = ConnectionPool(node_settings())
         self._task: asyncio.Task[None] | None = None
+        self._born_ms = int(time.time() * 1000)
+        self._sequence = 0
         self.state = TargetState.READY
 
     async def start(self) -> None:
@@ -524,12 +526,15 @@
             self._task.cancel()
             await asyncio.gather(self._task, return_exceptions=True)
             self._task = None
-            await self._send("DELETE", b"")
+            await self._send("DELETE", json.dumps({"born": self._born_ms}).encode())
         await self._pool.close()
 
     async def announce(self) -> bool:
         """Announce the current state and return whether the node accepted it."""
+        self._sequence += 1
         content = {
+            "born": self._born_ms,
+            "sequence": self._sequence,
             "service": self._target.service,
             "port": self._target.port,
             "slots": self._target.slots,
