Abort a closing admin connection when the node stops

Cause, from the traceback: the task of an admin connection was cancelled while it waited for the close of its connection. asyncio streams in Python 3.11 ask a cancelled task for its exception, which raises; the cancellation was caught only before that wait.

Change: the wait catches it as well and aborts the connection.

Measured: the new test fails without it.

--- a/jaypost/admin.py
+++ b/jaypost/admin.py
@@ -365,12 +365,16 @@
 
 
 async def _close_writer(writer: asyncio.StreamWriter) -> None:
-    """Close a connection; abort it if the peer does not read the remaining data in time."""
+    """Close a connection; abort it if the peer does not read the remaining data in time.
+
+    It is also aborted when the task of the connection is cancelled meanwhile. The task ends anyway,
+    and asyncio streams in Python 3.11 log a traceback for one that ends by its cancellation.
+    """
     writer.close()
     try:
         async with asyncio.timeout(CLOSE_TIMEOUT_S):
             await writer.wait_closed()
-    except (TimeoutError, ConnectionError):
+    except (TimeoutError, ConnectionError, asyncio.CancelledError):
         writer.transport.abort()
 
 
--- a/tests/test_admin.py
+++ b/tests/test_admin.py
@@ -78,6 +78,34 @@
     assert [target["state"] for target in targets] == ["ready" if is_listed else "gone"]
 
 
+class ClosingWriter:
+    """Writer whose connection does not close."""
+
+    def __init__(self):
+        self.calls = []
+        self.transport = self
+
+    def close(self):
+        self.calls.append("close")
+
+    def abort(self):
+        self.calls.append("abort")
+
+    async def wait_closed(self):
+        await asyncio.Event().wait()
+
+
+async def test_connection_that_closes_while_the_node_stops_is_aborted():
+    """Guards against a traceback in the log of a node that stops (chaos seed 9618)."""
+    writer = ClosingWriter()
+    closing = asyncio.create_task(admin._close_writer(writer))
+    await asyncio.sleep(0)
+    closing.cancel()
+    await asyncio.wait([closing])
+    assert not closing.cancelled()
+    assert writer.calls == ["close", "abort"]
+
+
 async def test_readyz_reports_a_ready_node(harness):
     harness.node.ready = admin.Readiness(True)
     assert (await harness.request("GET", "/readyz")).status == 200
